--- /dev/null
+++ b/packages/baseline/src/index.ts
@@ -0,0 +1,2 @@
+/** Naive versions of the decisions, for differential tests (development only). */
+export * from "./lib/naive-view.js";
--- /dev/null
+++ b/packages/measure/src/lib/registry.ts
@@ -0,0 +1,5 @@
+/** Every measurement by name. */
+import type { Measurement } from "./measurement.js";
+
+/** The measurements that `npm run measure` knows. */
+export const measurements: Readonly<Record<string, Measurement>> = {};
--- /dev/null
+++ b/packages/platform/src/lib/event-log.ts
@@ -0,0 +1,72 @@
+/** Structured logs: one numbered event a line, through `debug`. */
+import debug from "debug";
+import { EventLevel, events } from "./events.js";
+import type { EventName } from "./events.js";
+
+export enum LogFormat {
+    Text = "text",
+    Json = "json",
+}
+
+/** Values that an event carries; `undefined` fields are left out. */
+export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Options of {@link createEventLog}. */
+export interface EventLogOptions {
+    program: string;
+    hostId: string;
+    format: LogFormat;
+    /** Writes one line; standard error by default. */
+    write?: (line: string) => void;
+}
+
+/** Writes events of one process. */
+export interface EventLog {
+    log(name: EventName, fields?: EventFields): void;
+}
+
+const renderText = (fields: EventFields): string =>
+    Object.entries(fields)
+        .filter(([, value]) => value !== undefined)
+        .map(([key, value]) => `${key}=${typeof value === "string" ? JSON.stringify(value) : String(value)}`)
+        .join(" ");
+
+/**
+ * Creates the event log of one process.
+ *
+ * Warnings and errors are always written. Informational events are written when the DEBUG variable names the program,
+ * as in `DEBUG=cassiapick:*`.
+ */
+export const createEventLog = (options: EventLogOptions): EventLog => {
+    const logger = debug(`cassiapick:${options.program}`);
+    const write = options.write ?? ((line: string) => process.stderr.write(`${line}\n`));
+
+    const log = (name: EventName, fields: EventFields = {}): void => {
+        const definition = events[name];
+        if (definition.level === EventLevel.Info && !logger.enabled) {
+            return;
+        }
+        const { code, level, meaning } = definition;
+        if (options.format === LogFormat.Json) {
+            write(
+                JSON.stringify({
+                    time: new Date().toISOString(),
+                    code,
+                    level,
+                    event: name,
+                    program: options.program,
+                    hostId: options.hostId,
+                    meaning,
+                    ...fields,
+                }),
+            );
+            return;
+        }
+        write(
+            `${new Date().toISOString()} ${code} ${level} ${options.program} ${options.hostId} ${name} ${renderText(fields)}`
+                .trimEnd(),
+        );
+    };
+
+    return { log };
+};
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,4 @@
+/** Typed messages between the programs of the fleet, over TCP with cbor-x framing. */
+export * from "./lib/frame-codec.js";
+export * from "./lib/rpc-client.js";
+export * from "./lib/rpc-server.js";
