--- /dev/null
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -0,0 +1,222 @@
+/** One whole entry host as a state machine: every event of the process goes in, every effect comes out. */
+import type { Announcement } from "../backend-server.js";
+import { createDirectory, DirectoryChangeKind } from "../directory/directory.js";
+import type { DirectoryChange } from "../directory/directory.js";
+import { RelayMessageKind } from "../directory/relay.js";
+import type { ClockEcho, RelayMessage } from "../directory/relay.js";
+import { createRelayer } from "../directory/relayer.js";
+import { HostState } from "../membership/host-record.js";
+import type { HostInfo } from "../membership/host-record.js";
+import { createMembership, MembershipActionKind, MembershipEventKind } from "../membership/membership.js";
+import type { Membership, MembershipAction, MembershipEvent } from "../membership/membership.js";
+import type { Random } from "../random.js";
+import { compareVersions, formatVersion, noVersion } from "../tables.js";
+import type { Version, VersionedTables } from "../tables.js";
+import { candidatesOf, holdersOf } from "./candidates.js";
+import { EntryActionKind, EntryEventKind, FleetMessageKind, NoteKind } from "./entry-messages.js";
+import type { EntryAction, EntryEvent, FleetMessage } from "./entry-messages.js";
+import { createPoolSet } from "./pool-set.js";
+import type { PoolChange, PoolSet } from "./pool-set.js";
+import { createRequestFlow } from "./request-flow.js";
+import { createRouteTable } from "./route-table.js";
+
+/** Options of {@link createEntryNode}. */
+export interface EntryNodeCfg {
+    self: HostInfo;
+    /** Larger at each start of the process. */
+    incarnation: number;
+    seeds: HostInfo[];
+    random: Random;
+}
+
+/** One entry host. Times are in milliseconds on a clock that never goes back. */
+export interface EntryNode {
+    step(event: EntryEvent, now: number): EntryAction[];
+    /** The hosts that a caller should use for a brand and kind of request, best first. */
+    addresses(brand: string | undefined, kind: string | undefined): HostInfo[];
+    version(): Version;
+    versioned(): VersionedTables | undefined;
+    isDraining(): boolean;
+    membership(): Membership;
+    pools(): PoolSet;
+    openRequests(): number;
+}
+
+/** Addresses in one answer to a caller. */
+const maxAddresses = 4;
+
+/** Creates one entry host without tables. */
+export const createEntryNode = (cfg: EntryNodeCfg): EntryNode => {
+    const { self } = cfg;
+    const membership = createMembership(cfg);
+    const directory = createDirectory();
+    const relayer = createRelayer();
+    const pools = createPoolSet({
+        region: self.region,
+        availabilityZone: self.availabilityZone,
+        members: service => directory.members(service, self.region),
+    });
+    let tables: VersionedTables | undefined;
+    let routes = createRouteTable(undefined);
+    let draining = false;
+
+    const candidates = (service: string): HostInfo[] => candidatesOf(service, self.region, membership.usable());
+
+    const flow = createRequestFlow({ hostId: self.hostId, ports: { routes: () => routes, pools, candidates } });
+
+    const send = (toHostId: string, message: FleetMessage): EntryAction => ({ kind: EntryActionKind.Send, toHostId, message });
+
+    const note = (kind: NoteKind, subject: string, detail = ""): EntryAction => ({
+        kind: EntryActionKind.Note,
+        note: kind,
+        subject,
+        detail,
+    });
+
+    const applyPoolChanges = (changes: PoolChange[], now: number): EntryAction[] =>
+        changes.flatMap(({ pool, result }) => [
+            ...result.notes.map(found => note(found.note, found.serverId, pool.pool().destination)),
+            ...flow.applyScheduled(pool, result.scheduled, now),
+        ]);
+
+    const directoryNotes: Record<DirectoryChangeKind, NoteKind | undefined> = {
+        [DirectoryChangeKind.Joined]: NoteKind.ServerJoined,
+        [DirectoryChangeKind.Changed]: undefined,
+        [DirectoryChangeKind.Left]: NoteKind.ServerLeft,
+    };
+
+    const applyDirectory = (changes: DirectoryChange[], now: number): EntryAction[] => {
+        if (changes.length === 0) {
+            return [];
+        }
+        const services = new Set(changes.flatMap(change => change.announcement.services));
+        const notes = changes.flatMap(change => {
+            const kind = directoryNotes[change.kind];
+            return kind === undefined ? [] : [note(kind, change.announcement.id, change.announcement.services.join(","))];
+        });
+        return [...notes, ...applyPoolChanges(pools.refresh(services, now), now)];
+    };
+
+    const holdersOfServer = (announcement: Announcement): string[] => {
+        const hosts = membership.usable();
+        const holders = announcement.services.flatMap(service => holdersOf(service, announcement.region, hosts));
+        return [...new Set(holders.map(host => host.hostId))];
+    };
+
+    /** When the backend server certainly sent the announcement, on this host's clock. */
+    const sentAt = (echo: ClockEcho | undefined, now: number): number | undefined =>
+        echo?.incarnation === cfg.incarnation ? Math.min(now, echo.clock + echo.elapsedMs) : undefined;
+
+    const announce = (announcement: Announcement, echo: ClockEcho | undefined, now: number): EntryAction[] => {
+        const heardAt = sentAt(echo, now) ?? now;
+        const holders = holdersOfServer(announcement);
+        const remote = holders.filter(hostId => hostId !== self.hostId);
+        const relays = relayer.relay(announcement, heardAt, remote)
+            .map(({ toHostId, message }) => send(toHostId, { kind: FleetMessageKind.Relay, message }));
+        const changes = holders.includes(self.hostId) ? directory.announce(announcement, { validFrom: heardAt }, now) : [];
+        return [...relays, ...applyDirectory(changes, now)];
+    };
+
+    const onRelay = (fromHostId: string, message: RelayMessage, now: number): EntryAction[] => {
+        if (message.kind === RelayMessageKind.RelayAck) {
+            return relayer.onAck(fromHostId, message, now)
+                .map(relayed => send(relayed.toHostId, { kind: FleetMessageKind.Relay, message: relayed.message }));
+        }
+        const validFrom = sentAt(message.echo, now);
+        const ack: RelayMessage = {
+            kind: RelayMessageKind.RelayAck,
+            serverId: message.announcement.id,
+            incarnation: cfg.incarnation,
+            clock: now,
+            again: validFrom === undefined,
+        };
+        const changes = validFrom === undefined ? [] : directory.announce(message.announcement, { validFrom }, now);
+        return [send(fromHostId, { kind: FleetMessageKind.Relay, message: ack }), ...applyDirectory(changes, now)];
+    };
+
+    const applyMembership = (actions: MembershipAction[]): EntryAction[] =>
+        actions.map(action =>
+            action.kind === MembershipActionKind.Send
+                ? send(action.toHostId, { kind: FleetMessageKind.Membership, message: action.message })
+                : note(NoteKind.HostChanged, action.hostId, HostState[action.state])
+        );
+
+    const stepMembership = (event: MembershipEvent, now: number): EntryAction[] => applyMembership(membership.step(event, now));
+
+    const onMessage = (fromHostId: string, message: FleetMessage, now: number): EntryAction[] =>
+        message.kind === FleetMessageKind.Relay
+            ? onRelay(fromHostId, message.message, now)
+            : stepMembership({ kind: MembershipEventKind.Message, fromHostId, message: message.message }, now);
+
+    const takeTables = (next: VersionedTables, now: number): EntryAction[] => {
+        // Never back to an older version, whoever sends it.
+        if (tables !== undefined && compareVersions(next.version, tables.version) <= 0) {
+            return [];
+        }
+        tables = next;
+        routes = createRouteTable(next.tables);
+        return [
+            note(NoteKind.TablesInForce, formatVersion(next.version)),
+            ...stepMembership({ kind: MembershipEventKind.Version, version: next.version }, now),
+            ...applyPoolChanges(pools.configure(next.tables.pools, now), now),
+        ];
+    };
+
+    const tick = (now: number): EntryAction[] => [
+        ...stepMembership({ kind: MembershipEventKind.Tick }, now),
+        ...applyPoolChanges(pools.tick(now), now),
+    ];
+
+    const drain = (now: number): EntryAction[] => {
+        draining = true;
+        return stepMembership({ kind: MembershipEventKind.Leave }, now);
+    };
+
+    const handle = (event: EntryEvent, now: number): EntryAction[] => {
+        switch (event.kind) {
+            case EntryEventKind.Request:
+                return flow.arrive(event.request, now);
+            case EntryEventKind.AttemptEnded:
+                return flow.attemptEnded(event, now);
+            case EntryEventKind.ForwardEnded:
+                return flow.forwardEnded(event.requestId, event.forwardClass, now);
+            case EntryEventKind.CallerGone:
+                return flow.callerGone(event.requestId, now);
+            case EntryEventKind.Announce:
+                return announce(event.announcement, event.echo, now);
+            case EntryEventKind.Message:
+                return onMessage(event.fromHostId, event.message, now);
+            case EntryEventKind.Tables:
+                return takeTables(event.versioned, now);
+            case EntryEventKind.Tick:
+                return tick(now);
+            case EntryEventKind.Drain:
+                return drain(now);
+        }
+    };
+
+    // Leases end before anything else is decided: a process that was frozen must not use what it believed before.
+    const step = (
+        event: EntryEvent,
+        now: number,
+    ): EntryAction[] => [...applyDirectory(directory.expire(now), now), ...handle(event, now)];
+
+    const addresses = (brand: string | undefined, kind: string | undefined): HostInfo[] => {
+        const hosts = membership.usable();
+        const match = brand === undefined || kind === undefined ? undefined : routes.match(brand, kind);
+        const preferred = match?.ok === true ? candidatesOf(match.pool.service, self.region, hosts) : [];
+        const local = hosts.filter(host => host.region === self.region);
+        return [...new Set([...preferred, ...local, ...hosts])].slice(0, maxAddresses);
+    };
+
+    return {
+        step,
+        addresses,
+        version: () => tables?.version ?? noVersion,
+        versioned: () => tables,
+        isDraining: () => draining,
+        membership: () => membership,
+        pools: () => pools,
+        openRequests: () => flow.open(),
+    };
+};
--- /dev/null
+++ b/packages/core/src/lib/entry/request-book.ts
@@ -0,0 +1,73 @@
+/** The requests that one entry host has not answered yet. */
+import type { Route } from "../tables.js";
+import type { RequestInfo } from "./entry-messages.js";
+
+/** One request from its arrival to its answer. */
+export interface OpenRequest {
+    info: RequestInfo;
+    route: Route;
+    service: string;
+    idempotent: boolean;
+    attempts: number;
+    /** Whether any attempt may have reached a backend server. */
+    mayHaveRun: boolean;
+    /** Backend servers that were tried. */
+    tried: string[];
+    /** Entry hosts that were tried. */
+    forwardedTo: string[];
+    /** Whether this host holds the claim of the request's key. */
+    claimed: boolean;
+    /** Whether the caller went away. */
+    abandoned: boolean;
+}
+
+/** An attempt that waits for a slot or holds one. */
+export interface OpenAttempt {
+    attemptId: string;
+    requestId: string;
+    /** `undefined` while it waits for a slot. */
+    serverId?: string;
+}
+
+/** Open requests and their attempts. */
+export interface RequestBook {
+    open(request: OpenRequest): void;
+    find(requestId: string): OpenRequest | undefined;
+    close(requestId: string): void;
+    addAttempt(requestId: string): OpenAttempt;
+    findAttempt(attemptId: string): OpenAttempt | undefined;
+    removeAttempt(attemptId: string): void;
+    attemptsOf(requestId: string): OpenAttempt[];
+    size(): number;
+}
+
+/** Creates an empty book. */
+export const createRequestBook = (): RequestBook => {
+    const requests = new Map<string, OpenRequest>();
+    const attempts = new Map<string, OpenAttempt>();
+    let nextAttempt = 1;
+
+    const addAttempt = (requestId: string): OpenAttempt => {
+        const attempt: OpenAttempt = { attemptId: `${requestId}/${nextAttempt}`, requestId };
+        nextAttempt += 1;
+        attempts.set(attempt.attemptId, attempt);
+        return attempt;
+    };
+
+    return {
+        open: request => {
+            requests.set(request.info.requestId, request);
+        },
+        find: requestId => requests.get(requestId),
+        close: requestId => {
+            requests.delete(requestId);
+        },
+        addAttempt,
+        findAttempt: attemptId => attempts.get(attemptId),
+        removeAttempt: attemptId => {
+            attempts.delete(attemptId);
+        },
+        attemptsOf: requestId => [...attempts.values()].filter(attempt => attempt.requestId === requestId),
+        size: () => requests.size,
+    };
+};
--- /dev/null
+++ b/packages/core/src/lib/entry/route-table.ts
@@ -0,0 +1,69 @@
+/** The routes table, arranged for look-up. */
+import { RefusalKind } from "../outcome.js";
+import type { Pool, Route, Tables } from "../tables.js";
+
+/** What a request's brand and kind lead to. */
+export type RouteMatch =
+    | { ok: true; route: Route; pool: Pool; }
+    | { ok: false; reason: RefusalKind.UnknownBrand | RefusalKind.UnknownKind | RefusalKind.NoTables; message: string; };
+
+/** Look-up of routes and pools. */
+export interface RouteTable {
+    match(brand: string, kind: string): RouteMatch;
+    /** The pool whose members announce `service`. */
+    poolOf(service: string): Pool | undefined;
+    pools(): Pool[];
+}
+
+const safeMethods = new Set(["GET", "HEAD", "OPTIONS"]);
+
+/** Whether a request may run more than once: by its route, else by its method. */
+export const isIdempotent = (route: Route, method: string): boolean => route.idempotent ?? safeMethods.has(method);
+
+/** Arranges tables for look-up; `undefined` when none have been received yet. */
+export const createRouteTable = (tables: Tables | undefined): RouteTable => {
+    const byBrand = new Map<string, Map<string, Route>>();
+    const byDestination = new Map<string, Pool>();
+    const byService = new Map<string, Pool>();
+    for (const route of tables?.routes ?? []) {
+        const kinds = byBrand.get(route.brand) ?? new Map<string, Route>();
+        kinds.set(route.kind, route);
+        byBrand.set(route.brand, kinds);
+    }
+    for (const pool of tables?.pools ?? []) {
+        byDestination.set(pool.destination, pool);
+        byService.set(pool.service, pool);
+    }
+
+    const match = (brand: string, kind: string): RouteMatch => {
+        if (tables === undefined) {
+            return {
+                ok: false,
+                reason: RefusalKind.NoTables,
+                message: "No tables are in force here yet. Ask again, or apply tables.",
+            };
+        }
+        const kinds = byBrand.get(brand);
+        if (kinds === undefined) {
+            return {
+                ok: false,
+                reason: RefusalKind.UnknownBrand,
+                message:
+                    `No route names the brand '${brand}'. Send a known brand in the Cassiapick-Brand header, or add a route.`,
+            };
+        }
+        const route = kinds.get(kind);
+        const pool = route === undefined ? undefined : byDestination.get(route.destination);
+        if (route === undefined || pool === undefined) {
+            const known = [...kinds.keys()].join(", ");
+            return {
+                ok: false,
+                reason: RefusalKind.UnknownKind,
+                message: `No route of the brand '${brand}' names the kind '${kind}'. Its kinds are: ${known}.`,
+            };
+        }
+        return { ok: true, route, pool };
+    };
+
+    return { match, poolOf: service => byService.get(service), pools: () => [...byService.values()] };
+};
