Describe the status that an entry host answers

Cause: the command line and the report read what entry hosts know, and both sides need one type for it. Ruled out: totals alone, which can't be cut into windows; per-request records, which grow without bound.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./lib/backend-server.js";
 export * from "./lib/detector.js";
 export * from "./lib/effective-view.js";
+export * from "./lib/entry-status.js";
 export * from "./lib/outcome.js";
 export * from "./lib/random.js";
 export * from "./lib/retry.js";
