--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./lib/membership/membership.js";
 export * from "./lib/membership/messages.js";
 export * from "./lib/hash.js";
+export * from "./lib/entry-status.js";
 export * from "./lib/outcome.js";
 export * from "./lib/ownership.js";
 export * from "./lib/random.js";
