Add the entry host, the stand-ins and the demo's fleet

Cause: the path needs the processes around the decisions. Change: cassiapick-entry (callers, hops, attempts, announcements, tables, fleet), backend and caller stand-ins, and a demo launcher.

--- a/packages/core/src/lib/entry/entry-node.ts
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -34,6 +34,8 @@
     step(event: EntryEvent, now: number): EntryAction[];
     /** The hosts that a caller should use for a brand and kind of request, best first. */
     addresses(brand: string | undefined, kind: string | undefined): HostInfo[];
+    /** Where the tables send a brand and kind of request. */
+    destinationOf(brand: string, kind: string): string | undefined;
     version(): Version;
     versioned(): VersionedTables | undefined;
     isDraining(): boolean;
@@ -209,9 +211,15 @@
         return [...new Set([...preferred, ...local, ...hosts])].slice(0, maxAddresses);
     };
 
+    const destinationOf = (brand: string, kind: string): string | undefined => {
+        const match = routes.match(brand, kind);
+        return match.ok ? match.pool.destination : undefined;
+    };
+
     return {
         step,
         addresses,
+        destinationOf,
         version: () => tables?.version ?? noVersion,
         versioned: () => tables,
         isDraining: () => draining,
--- /dev/null
+++ b/packages/demo/src/lib/demo-fleet.ts
@@ -0,0 +1,181 @@
+/** Starts the fleet of the demo as separate processes. */
+import type { HostInfo, Tables } from "@cassiapick/core";
+import { parseTables } from "@cassiapick/platform";
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { runProgram, startProgram } from "./child-process.js";
+import type { RunningProgram } from "./child-process.js";
+import { backendServers, Deployment, entryHosts, stateHosts } from "./fleet-plan.js";
+import type { PlannedHost, PlannedServer } from "./fleet-plan.js";
+import { findFreePort } from "./free-ports.js";
+
+/** An entry host of the demo. */
+export interface DemoEntry {
+    program: RunningProgram;
+    self: HostInfo;
+}
+
+/** A backend server of the demo. */
+export interface DemoServer {
+    program: RunningProgram;
+    plan: PlannedServer;
+    address: string;
+}
+
+/** The running fleet. */
+export interface DemoFleet {
+    folder: string;
+    routesFile: string;
+    poolsFile: string;
+    tables: Tables;
+    states: RunningProgram[];
+    entries: DemoEntry[];
+    servers: DemoServer[];
+    /** Arguments that every `cassiapick` command of the demo wants. */
+    operatorArgs: string[];
+    /** Runs `cassiapick` with the operator's arguments. */
+    operate(args: string[]): Promise<{ code: number; output: string; }>;
+    writeTables(tables: Tables): void;
+    /** Stops every process gracefully; resolves with the exit codes by name. */
+    stop(): Promise<Map<string, number>>;
+}
+
+/** How long callers of the demo keep an address answer. */
+const addressValidityMs = 1500;
+const examplesFolder = fileURLToPath(new URL("../../../../examples/", import.meta.url));
+
+const readExample = (deployment: Deployment): Tables => {
+    const read = (name: string): string => readFileSync(join(examplesFolder, deployment, name), "utf8");
+    const result = parseTables(read("routes.yaml"), read("pools.yaml"));
+    if (!result.ok) {
+        throw new Error(result.errs.map(err => `${err.place}: ${err.message}`).join("\n"));
+    }
+    return result.tables;
+};
+
+/** Both deployments in one fleet. */
+const readBothExamples = (): Tables => {
+    const all = [readExample(Deployment.Ticketing), readExample(Deployment.Cartons)];
+    return { routes: all.flatMap(tables => tables.routes), pools: all.flatMap(tables => tables.pools) };
+};
+
+const writeTokens = (folder: string): void => {
+    for (const name of ["fleet", "announce", "operator"]) {
+        // Every run of the demo has tokens of its own; they never leave its folder.
+        writeFileSync(join(folder, `${name}.token`), `${name}-${crypto.randomUUID()}\n`, { mode: 0o600 });
+    }
+};
+
+/** Starts everything; resolves when all processes serve and the tables are applied. */
+export const startDemoFleet = async (): Promise<DemoFleet> => {
+    const folder = mkdtempSync(join(tmpdir(), "cassiapick-demo-"));
+    const routesFile = join(folder, "routes.yaml");
+    const poolsFile = join(folder, "pools.yaml");
+    const tokenFile = (name: string): string => join(folder, `${name}.token`);
+    writeTokens(folder);
+
+    const tables = readBothExamples();
+    const writeTables = (next: Tables): void => {
+        writeFileSync(routesFile, JSON.stringify({ format: 1, routes: next.routes }, undefined, 2));
+        writeFileSync(poolsFile, JSON.stringify({ format: 1, pools: next.pools }, undefined, 2));
+    };
+    writeTables(tables);
+
+    const planPeers = async (hosts: PlannedHost[]): Promise<{ plan: PlannedHost; port: number; }[]> =>
+        Promise.all(hosts.map(async plan => ({ plan, port: await findFreePort(plan.host) })));
+
+    const statePeers = await planPeers(stateHosts);
+    const entryPeers = await planPeers(entryHosts);
+    const listOf = (peers: { plan: PlannedHost; port: number; }[]): string =>
+        peers.map(({ plan, port }) => `${plan.hostId}=${plan.host}:${port}`).join(",");
+
+    const states = await Promise.all(statePeers.map(({ plan, port }) => {
+        const dataDir = join(folder, plan.hostId);
+        mkdirSync(dataDir);
+        return startProgram({
+            script: "state/dist/main.js",
+            name: plan.hostId,
+            args: [
+                ...[
+                    "--host-id",
+                    plan.hostId,
+                    "--listen-host",
+                    plan.host,
+                    "--listen-port",
+                    String(port),
+                    "--peers",
+                    listOf(statePeers),
+                ],
+                ...["--data-dir", dataDir, "--token-file", tokenFile("fleet"), "--bootstrap", "true"],
+            ],
+        });
+    }));
+
+    const entries = await Promise.all(entryPeers.map(async ({ plan, port }) => {
+        const program = await startProgram({
+            script: "entry/dist/main.js",
+            name: plan.hostId,
+            args: [
+                ...["--host-id", plan.hostId, "--region", plan.region, "--availability-zone", plan.availabilityZone],
+                ...["--listen-host", plan.host, "--fleet-port", String(port), "--seeds", listOf(entryPeers)],
+                ...["--state-hosts", listOf(statePeers), "--address-validity-ms", String(addressValidityMs)],
+                ...["--fleet-token-file", tokenFile("fleet"), "--announce-token-file", tokenFile("announce")],
+                ...["--operator-token-file", tokenFile("operator")],
+            ],
+        });
+        return { program, self: (JSON.parse(program.firstLine) as { listening: HostInfo; }).listening };
+    }));
+
+    const entryAdmins = entries.map(({ self }) => `${self.hostId}=${self.adminHost}:${self.adminPort}`).join(",");
+    const operatorArgs = [
+        ...["--state-hosts", listOf(statePeers), "--state-token-file", tokenFile("fleet")],
+        ...["--entry-hosts", entryAdmins, "--token-file", tokenFile("operator")],
+    ];
+    const operate = (args: string[]): Promise<{ code: number; output: string; }> =>
+        runProgram({ script: "ctl/dist/main.js", name: "cassiapick", args: [...args, ...operatorArgs] });
+
+    const applied = await operate(["tables", "apply", routesFile, poolsFile]);
+    if (applied.code !== 0) {
+        throw new Error(`The tables were not applied:\n${applied.output}`);
+    }
+
+    const adminAddresses = entries.map(({ self }) => `${self.adminHost}:${self.adminPort}`).join(",");
+    const servers = await Promise.all(backendServers.map(async plan => {
+        const program = await startProgram({
+            script: "standins/dist/backend-main.js",
+            name: plan.hostId,
+            args: [
+                ...[
+                    "--id",
+                    plan.hostId,
+                    "--listen-host",
+                    plan.host,
+                    "--region",
+                    plan.region,
+                    "--availability-zone",
+                    plan.availabilityZone,
+                ],
+                ...["--services", plan.service, "--entry-hosts", adminAddresses, "--announce-token-file", tokenFile("announce")],
+            ],
+        });
+        const { listening } = JSON.parse(program.firstLine) as { listening: { host: string; port: number; }; };
+        return { program, plan, address: `${listening.host}:${listening.port}` };
+    }));
+
+    const stop = async (): Promise<Map<string, number>> => {
+        const codes = new Map<string, number>();
+        // Backend servers first, so that entry hosts still hear that they leave; the state hosts last.
+        for (const group of [servers.map(server => server.program), entries.map(entry => entry.program), states]) {
+            for (const program of group) {
+                program.signal("SIGTERM");
+            }
+            await Promise.all(group.map(async program => codes.set(program.name, await program.exited)));
+        }
+        rmSync(folder, { recursive: true, force: true });
+        return codes;
+    };
+
+    return { folder, routesFile, poolsFile, tables, states, entries, servers, operatorArgs, operate, writeTables, stop };
+};
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,2 +1,17 @@
-/** Starts a small fleet with its stand-ins. */
-console.log("demo: 0 requests, 0 whole answers, 0 doubled, 0 cut");
+/** `npm run demo`: starts a small fleet with its stand-ins. */
+import yargs from "yargs";
+import { runOnce } from "./lib/run-once.js";
+import { runUntilStopped } from "./lib/run-until-stopped.js";
+
+const args = yargs(process.argv.slice(2))
+    .scriptName("npm run demo --")
+    .option("once", { type: "boolean", default: false, describe: "Go through the whole path once and exit." })
+    .strict()
+    .parseSync();
+
+if (args.once) {
+    const isRight = await runOnce();
+    process.exit(isRight ? 0 : 1);
+}
+await runUntilStopped();
+process.exit(0);
--- a/packages/entry/src/lib/exchange.ts
+++ b/packages/entry/src/lib/exchange.ts
@@ -160,7 +160,7 @@
         {
             origin: options.origin,
             path: options.path,
-            method: options.method as Dispatcher.HttpMethod,
+            method: options.method,
             headers: options.headers,
             body: options.body.length > 0 ? options.body : null,
             reset: options.reset,
--- a/packages/entry/src/lib/headers.ts
+++ b/packages/entry/src/lib/headers.ts
@@ -12,6 +12,8 @@
     hopToken: "cassiapick-hop-token",
     requestId: "cassiapick-request-id",
     servedBy: "cassiapick-served-by",
+    /** The backend server that was tried last, told from host to host. */
+    server: "cassiapick-server",
     leaving: "cassiapick-leaving",
 } as const;
 
--- a/packages/platform/src/lib/events.ts
+++ b/packages/platform/src/lib/events.ts
@@ -68,6 +68,12 @@
         "Start more backend servers for the pool.",
     ),
     requestRefused: warn("CP4001", "A request was refused.", "Read the reason; no-capacity wants more backend servers."),
+    hostChanged: info("CP5002", "Another entry host joined, left or changed its state."),
+    internalFault: error(
+        "CP5003",
+        "An event met a fault of this program and was dropped.",
+        "Report it with the line of the log.",
+    ),
     peerRejected: warn(
         "CP5001",
         "A connection of a peer was closed for a fault of the peer.",
--- /dev/null
+++ b/packages/standins/src/caller-main.ts
@@ -0,0 +1,33 @@
+#!/usr/bin/env node
+/** The program `caller-stand-in`: sends load for a while and prints what it counted. */
+import { integerSetting, readSettings, textSetting } from "@cassiapick/platform";
+import { setTimeout as sleep } from "node:timers/promises";
+import { startCallerStandIn } from "./lib/caller-stand-in.js";
+
+const definitions = {
+    entryHosts: { description: "caller addresses of entry hosts, as 'host:port' separated by commas", schema: textSetting() },
+    brand: { description: "the brand to send", schema: textSetting() },
+    kind: { description: "the kind of request", schema: textSetting() },
+    concurrency: { description: "requests under way at a time", schema: integerSetting(1, 10_000), default: 4 },
+    seconds: { description: "how long to send, in seconds", schema: integerSetting(1, 86_400), default: 5 },
+};
+const msPerSecond = 1000;
+
+const result = readSettings({ program: "caller-stand-in", definitions, args: process.argv.slice(2), env: process.env });
+if (!result.ok) {
+    console.error(result.errs.map(err => err.message).join("\n"));
+    process.exit(2);
+}
+const { brand, kind, concurrency, seconds } = result.values;
+const caller = startCallerStandIn({
+    entryHosts: result.values.entryHosts.split(","),
+    kinds: [{ brand, kind, method: "GET", keyed: false }],
+    concurrency,
+    pauseMs: 10,
+    name: `caller-${process.pid}`,
+    deadlineMs: 5000,
+});
+await sleep(seconds * msPerSecond);
+await caller.stop();
+const { durationsMs, confirmedMarks, ...counts } = caller.counts;
+console.log(JSON.stringify({ ...counts, timed: durationsMs.length, confirmed: confirmedMarks.length }));
