Let three state hosts agree on one order of the tables

Cause: the tables need one order that survives crashes, cuts and lost disks. Ruled out: a leader that numbers changes without terms (two leaders number alike); letting a host with an empty disk vote at once (it may have promised what it forgot).

--- /dev/null
+++ b/packages/core/src/lib/consensus/request-replies.ts
@@ -0,0 +1,40 @@
+/** The replies of a state host, and their messages. */
+import { StateReplyKind } from "../state-messages.js";
+import type { StateReply } from "../state-messages.js";
+import { formatVersion } from "../tables.js";
+import type { DecidedChange } from "./log-entry.js";
+
+/** How long a caller waits before it asks again, in milliseconds. */
+const retryAfterMs = 200;
+
+/** The reply to a change that has been decided; the same each time it is asked for. */
+export const decisionReply = (decision: DecidedChange): StateReply =>
+    decision.won ? { kind: StateReplyKind.Applied, version: decision.version } : {
+        kind: StateReplyKind.Conflict,
+        version: decision.version,
+        winningChangeId: decision.winningChangeId,
+        message: `Version ${formatVersion(decision.version)} is in force, made by the change '${decision.winningChangeId}'. `
+            + "Read the tables, make your edit on that version and apply it with a new change id.",
+    };
+
+/** The request found no leader with a majority in time. */
+export const unavailableReply = (): StateReply => ({
+    kind: StateReplyKind.Unavailable,
+    retryAfterMs,
+    message: "No majority of the state hosts answered in time, so the outcome is unknown. Check that a majority runs, "
+        + "then send the same request again; a change keeps its change id.",
+});
+
+/** The host has started and does not yet know which of its entries are committed. */
+export const catchingUpReply = (): StateReply => ({
+    kind: StateReplyKind.Unavailable,
+    retryAfterMs,
+    message: "This state host has not caught up with a leader since it started. Ask another state host, or ask again later.",
+});
+
+/** Another host leads. */
+export const notLeaderReply = (leaderId: string | undefined): StateReply => ({
+    kind: StateReplyKind.NotLeader,
+    leaderId,
+    message: "This state host does not lead. Ask the leader, or ask again later when none is named.",
+});
--- /dev/null
+++ b/packages/state/src/main.ts
@@ -0,0 +1,127 @@
+#!/usr/bin/env node
+/** cassiapick-state: one state host. */
+import { createRandom, drawIncarnation, firstIncarnation, NodeActionKind } from "@cassiapick/core";
+import type { HardState } from "@cassiapick/core";
+import {
+    createEventLog,
+    integerSetting,
+    LogFormat,
+    peersSetting,
+    readSettings,
+    readTokenFile,
+    textSetting,
+} from "@cassiapick/platform";
+import { randomInt } from "node:crypto";
+import { z } from "zod";
+import { openDataFolder } from "./lib/data-folder.js";
+import { openDisk } from "./lib/disk.js";
+import { startStateHost } from "./lib/state-host.js";
+
+const program = "cassiapick-state";
+const maxPort = 65_535;
+const exitSettings = 2;
+const exitStorage = 3;
+const seedRange = 2 ** 31;
+
+const settings = readSettings({
+    program,
+    args: process.argv.slice(2),
+    env: process.env,
+    definitions: {
+        hostId: { description: "The name of this state host, as in --peers.", schema: textSetting() },
+        listenHost: { description: "The address to listen on.", schema: textSetting() },
+        listenPort: { description: "The port to listen on; 0 lets the system choose.", schema: integerSetting(0, maxPort) },
+        peers: {
+            description: "Every state host, this one included, as 'name=host:port' pairs separated by commas.",
+            schema: peersSetting(),
+        },
+        dataDir: { description: "The folder on this host's disk that holds the state.", schema: textSetting() },
+        tokenFile: { description: "The file with the fleet's tokens, one a line.", schema: textSetting() },
+        bootstrap: {
+            description: "'true' at the very first start of all state hosts; an empty folder is otherwise a lost disk.",
+            schema: z.enum(["true", "false"]),
+            default: "false" as const,
+        },
+        epoch: {
+            description: "The epoch that a first start begins with; higher than the last one after a rebuild.",
+            schema: integerSetting(0, Number.MAX_SAFE_INTEGER),
+            default: 0,
+        },
+        snapshotEvery: {
+            description: "How many log entries are kept before a snapshot replaces them.",
+            schema: integerSetting(1, 1_000_000),
+            default: 256,
+        },
+        logFormat: { description: "'text' or 'json'.", schema: z.enum(LogFormat), default: LogFormat.Text },
+    },
+});
+if (!settings.ok) {
+    for (const err of settings.errs) {
+        console.error(err.message);
+    }
+    process.exit(exitSettings);
+}
+const cfg = settings.values;
+const log = createEventLog({ program, hostId: cfg.hostId, format: cfg.logFormat });
+
+const stopForStorage = (message: string): never => {
+    log.log("storageFailed", { message });
+    process.exit(exitStorage);
+};
+
+const random = createRandom(randomInt(seedRange));
+const founding = cfg.bootstrap === "true";
+const firstHardState: HardState = {
+    incarnation: founding ? firstIncarnation : drawIncarnation(random),
+    founding,
+    term: 0,
+};
+
+const openFolder = async (): ReturnType<typeof openDataFolder> => {
+    try {
+        return await openDataFolder(await openDisk(cfg.dataDir), firstHardState);
+    }
+    catch (err) {
+        return stopForStorage(`${(err as Error).message}. Check the folder '${cfg.dataDir}'.`);
+    }
+};
+
+const opened = await openFolder();
+if (!opened.ok) {
+    stopForStorage(opened.err.message);
+}
+else {
+    const { folder } = opened;
+    const isBlank = folder.stored.snapshot === undefined && folder.stored.entries.length === 0;
+    if (founding && isBlank && folder.stored.hardState.incarnation !== firstIncarnation) {
+        // An earlier start without --bootstrap left it blank, and a blank disk has promised nothing.
+        await folder.write([{ kind: NodeActionKind.SaveHardState, hardState: firstHardState }]);
+        folder.stored.hardState = firstHardState;
+    }
+    const tokens = readTokenFile(cfg.tokenFile);
+    const host = await startStateHost({
+        hostId: cfg.hostId,
+        listenHost: cfg.listenHost,
+        listenPort: cfg.listenPort,
+        peers: cfg.peers,
+        token: tokens.current,
+        acceptToken: token => tokens.accepts(token),
+        folder,
+        node: { random, wallClock: Date.now, snapshotEvery: cfg.snapshotEvery, firstEpoch: cfg.epoch },
+        clock: () => performance.now(),
+        log,
+        storageFailed: err =>
+            stopForStorage(`${err.message}. Free space or replace the disk '${cfg.dataDir}', then start again.`),
+    });
+    process.stdout.write(`listening ${cfg.listenHost}:${host.port}\n`);
+    log.log("started", { listenHost: cfg.listenHost, listenPort: host.port });
+
+    const stop = async (): Promise<void> => {
+        log.log("draining");
+        await host.stop();
+        log.log("stopped");
+        process.exit(0);
+    };
+    process.once("SIGTERM", () => void stop());
+    process.once("SIGINT", () => void stop());
+}
