Find ill backend servers by sequential tests on their requests

Cause: five failures in a row ejected a member; slowness, hanging attempts and errors on some requests were never found, and trouble of the whole pool blamed everyone. Ruled out: fixed latency limits (one kind of request is slow by nature) and comparison with a member's own past (a member that was always slow, and load). Change: cumulative sums of log-likelihood ratios per member for failures, for attempts in the tail (counted while they hang) and for a shift of all answers, against the pool's other members for the same kind of request; suspicion only beyond the others' evidence and while others answer well.

--- /dev/null
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -0,0 +1,254 @@
+/** Turns the attempts of one pool into evidence against its members, each compared with the others. */
+import { AttemptClass } from "../outcome.js";
+import { latenessLevels, levelsPassed } from "./attempts.js";
+import type { Attempt } from "./attempts.js";
+import { createBadRates } from "./bad-rate.js";
+import type { BadRates } from "./bad-rate.js";
+import { createLatencyReferences } from "./latency-reference.js";
+import type { LatencyReference } from "./latency-reference.js";
+import { createMemberEvidence, Test, tests } from "./member-evidence.js";
+import type { MemberEvidence } from "./member-evidence.js";
+import type { DetectionPolicy } from "./policy.js";
+import { bernoulliEvidence, shiftEvidence } from "./sequential-test.js";
+
+/** What is known of a member besides its requests. */
+export interface MemberTraits {
+    /** Whether it has just started and is expected to be slow. */
+    cold: boolean;
+    /** The usual time of a round trip to it, in milliseconds; it is taken off each time. */
+    roundTripMs: number;
+}
+
+/** Options of {@link createPoolEvidence}. */
+export interface PoolEvidenceCfg {
+    policy: DetectionPolicy;
+    /** Whether a member's requests may serve as a reference for others; a suspected member's may not. */
+    isTrusted: (serverId: string) => boolean;
+}
+
+/** The evidence against the members of one pool. Times are in milliseconds. */
+export interface PoolEvidence {
+    join(serverId: string, traits: MemberTraits): void;
+    remove(serverId: string): void;
+    /** Forgets what was held against a member. */
+    reset(serverId: string): void;
+    started(attemptId: string, serverId: string, requestKind: string, now: number): void;
+    /** Returns the member that the attempt ran at. */
+    finished(attemptId: string, outcome: AttemptClass, now: number): string | undefined;
+    /** Counts attempts that hang. */
+    tick(now: number): void;
+    /** The evidence against a member beyond that against the pool, in thresholds. */
+    score(serverId: string): number;
+    /** Whether requests went well at the member after `since`. */
+    answeredSince(serverId: string, since: number): boolean;
+    members(): string[];
+}
+
+const usualFailureRate = 0.005;
+const usualTailRate = 0.01;
+const illAddedRate = 0.25;
+const maxIllRate = 0.95;
+const brokenAnswerEvidence = 1;
+const minTailLog = Math.log(2.5);
+const coldAddedLog = Math.log(4);
+const wellLog = Math.log(2);
+const rememberedAnswers = 64;
+const minServiceMs = 1;
+// Below this share of a threshold a contrast is not worth its time.
+const scoreFloor = 0.25;
+
+interface Member extends MemberTraits {
+    evidence: MemberEvidence;
+    lastWellAt: number;
+}
+
+const failures: ReadonlySet<AttemptClass> = new Set([
+    AttemptClass.ServerError,
+    AttemptClass.NotSent,
+    AttemptClass.Cut,
+    AttemptClass.Corrupt,
+    AttemptClass.Timeout,
+]);
+
+const illRateOf = (wellRate: number): number => Math.min(maxIllRate, wellRate + illAddedRate);
+
+const medianOf = (values: number[]): number => {
+    const sorted = values.sort((a, b) => a - b);
+    return sorted[sorted.length >> 1] ?? 0;
+};
+
+/** Creates the evidence of one pool. */
+export const createPoolEvidence = (cfg: PoolEvidenceCfg): PoolEvidence => {
+    const { policy } = cfg;
+    const members = new Map<string, Member>();
+    const attempts = new Map<string, Attempt>();
+    const references = createLatencyReferences(cfg.isTrusted);
+    const rates: Record<Test.Failure | Test.Tail, Map<string, BadRates>> = {
+        [Test.Failure]: new Map(),
+        [Test.Tail]: new Map(),
+    };
+    const usualRates = { [Test.Failure]: usualFailureRate, [Test.Tail]: usualTailRate };
+    const wellAnswers: { serverId: string; startedAt: number; }[] = [];
+
+    const join = (serverId: string, traits: MemberTraits): void => {
+        const member = members.get(serverId) ?? { ...traits, evidence: createMemberEvidence(policy), lastWellAt: -Infinity };
+        members.set(serverId, Object.assign(member, traits));
+    };
+
+    const ratesOf = (test: Test.Failure | Test.Tail, requestKind: string): BadRates => {
+        const found = rates[test].get(requestKind) ?? createBadRates(usualRates[test], cfg.isTrusted);
+        rates[test].set(requestKind, found);
+        return found;
+    };
+
+    const remove = (serverId: string): void => {
+        members.delete(serverId);
+        references.remove(serverId);
+        for (const byKind of [rates[Test.Failure], rates[Test.Tail]]) {
+            byKind.forEach(item => item.remove(serverId));
+        }
+        for (const [attemptId, attempt] of attempts) {
+            if (attempt.serverId === serverId) {
+                attempts.delete(attemptId);
+            }
+        }
+    };
+
+    const started = (attemptId: string, serverId: string, requestKind: string, now: number): void => {
+        if (!members.has(serverId)) {
+            join(serverId, { cold: false, roundTripMs: 0 });
+        }
+        attempts.set(attemptId, { serverId, requestKind, startedAt: now, levelsCounted: 0 });
+    };
+
+    const logTime = (attempt: Attempt, member: Member, now: number): number =>
+        Math.log(Math.max(minServiceMs, now - attempt.startedAt - member.roundTripMs));
+
+    const tailLog = (reference: LatencyReference, member: Member): number =>
+        reference.center + Math.max(minTailLog, policy.tailScales * reference.scale) + (member.cold ? coldAddedLog : 0);
+
+    const countRate = (test: Test.Failure | Test.Tail, bad: boolean, attempt: Attempt, member: Member, now: number): void => {
+        const rate = ratesOf(test, attempt.requestKind);
+        const wellRate = rate.others(attempt.serverId);
+        member.evidence.add(test, bernoulliEvidence(bad, wellRate, illRateOf(wellRate)), attempt.startedAt);
+        rate.add(attempt.serverId, bad, now);
+    };
+
+    const countLateness = (attempt: Attempt, member: Member, passed: number, now: number): void => {
+        if (attempt.levelsCounted === 0 && passed > 0) {
+            countRate(Test.Tail, true, attempt, member, now);
+        }
+        for (const level of latenessLevels.slice(attempt.levelsCounted, passed)) {
+            member.evidence.add(Test.Tail, level.evidence, attempt.startedAt);
+        }
+        attempt.levelsCounted = Math.max(attempt.levelsCounted, passed);
+    };
+
+    const checkLateness = (attempt: Attempt, member: Member, now: number): LatencyReference | undefined => {
+        const reference = references.others(attempt.serverId, attempt.requestKind, now);
+        if (reference !== undefined) {
+            countLateness(attempt, member, levelsPassed(logTime(attempt, member, now), tailLog(reference, member)), now);
+        }
+        return reference;
+    };
+
+    const countSuccess = (attempt: Attempt, member: Member, reference: LatencyReference | undefined, now: number): void => {
+        const logMs = logTime(attempt, member, now);
+        if (!member.cold) {
+            references.add(attempt.serverId, attempt.requestKind, logMs, now);
+        }
+        countRate(Test.Failure, false, attempt, member, now);
+        if (reference === undefined) {
+            return;
+        }
+        if (attempt.levelsCounted === 0) {
+            countRate(Test.Tail, false, attempt, member, now);
+        }
+        const ratio = logMs - reference.center;
+        if (!member.cold) {
+            member.evidence.add(Test.Shift, shiftEvidence(ratio, reference.scale), attempt.startedAt);
+        }
+        if (ratio < wellLog) {
+            member.lastWellAt = now;
+            wellAnswers.push({ serverId: attempt.serverId, startedAt: attempt.startedAt });
+            wellAnswers.splice(0, wellAnswers.length - rememberedAnswers);
+        }
+    };
+
+    const countFailure = (attempt: Attempt, member: Member, outcome: AttemptClass, now: number): void => {
+        countRate(Test.Failure, true, attempt, member, now);
+        if (outcome === AttemptClass.Cut || outcome === AttemptClass.Corrupt) {
+            member.evidence.add(Test.Failure, brokenAnswerEvidence, attempt.startedAt);
+        }
+    };
+
+    const finished = (attemptId: string, outcome: AttemptClass, now: number): string | undefined => {
+        const attempt = attempts.get(attemptId);
+        const member = attempt && members.get(attempt.serverId);
+        attempts.delete(attemptId);
+        if (attempt === undefined || member === undefined) {
+            return undefined;
+        }
+        const reference = outcome === AttemptClass.Shed ? undefined : checkLateness(attempt, member, now);
+        if (outcome === AttemptClass.Success) {
+            countSuccess(attempt, member, reference, now);
+        }
+        // A caller with little time left lets attempts time out early; that is no illness of the backend server.
+        const early = outcome === AttemptClass.Timeout && reference !== undefined && attempt.levelsCounted === 0;
+        if (failures.has(outcome) && !early) {
+            countFailure(attempt, member, outcome, now);
+        }
+        return attempt.serverId;
+    };
+
+    const tick = (now: number): void => {
+        for (const attempt of attempts.values()) {
+            const member = members.get(attempt.serverId);
+            if (member !== undefined) {
+                checkLateness(attempt, member, now);
+            }
+        }
+    };
+
+    const peersAnswered = (serverId: string, since: number): boolean => {
+        const count = wellAnswers.filter(answer => answer.serverId !== serverId && answer.startedAt > since).length;
+        return count >= policy.peerAnswers;
+    };
+
+    // Slowness must be contrasted with what others answered after the slow attempt began; failures can follow each
+    // other so fast that only the run as a whole can be contrasted.
+    const contrastFrom = (member: Member, test: Test): number | undefined =>
+        test === Test.Failure ? member.evidence.firstBadStartedAt(test) : member.evidence.lastBadStartedAt(test);
+
+    const testScore = (serverId: string, member: Member, test: Test): number => {
+        const since = contrastFrom(member, test);
+        if (since === undefined || !peersAnswered(serverId, since)) {
+            return 0;
+        }
+        const others = [...members].filter(([id]) => id !== serverId && cfg.isTrusted(id));
+        return member.evidence.value(test) - medianOf(others.map(([, other]) => other.evidence.value(test)));
+    };
+
+    const score = (serverId: string): number => {
+        const member = members.get(serverId);
+        if (member === undefined) {
+            return 0;
+        }
+        return Math.max(
+            0,
+            ...tests.map(test => member.evidence.value(test) < scoreFloor ? 0 : testScore(serverId, member, test)),
+        );
+    };
+
+    return {
+        join,
+        remove,
+        reset: serverId => members.get(serverId)?.evidence.reset(),
+        started,
+        finished,
+        tick,
+        score,
+        answeredSince: (serverId, since) => (members.get(serverId)?.lastWellAt ?? -Infinity) > since,
+        members: () => [...members.keys()],
+    };
+};
--- a/packages/core/src/lib/effective-view.ts
+++ b/packages/core/src/lib/effective-view.ts
@@ -12,6 +12,8 @@
     serverId: string;
     /** Strength of the evidence; larger is more ill. */
     evidence: number;
+    /** Whether several hosts agree. Otherwise the cause may be this host's own link, and only this host acts on it. */
+    fleet?: boolean;
 }
 
 /** The members of a pool, divided by what picking does with them. */
