Add the claim node: write-once claims on three replicas

Cause: a caller that got no answer sends a booking again to another entry host, and entry hosts have no disk, so one host's memory of keys neither reaches the other host nor survives a restart.

Ruled out: ballots per key (Paxos). A claimant that may have run must never be taken over, so a later ballot would have nothing to decide; votes that only their own claimant gives back are enough. A bulk list of who has caught up was ruled out too: after a second restart it would vouch for keys that its sender does not know.

Change: createClaimNode composes a coordinator and a replica. Replicas are a function of the roster and the key alone. A vote names the latest known process of the other replicas, so that a vote forgotten by a restart is not counted. A restarted replica abstains, per set of replicas, until it has heard from enough of the others or the horizon has passed.

--- /dev/null
+++ b/packages/core/src/lib/claims/index.ts
@@ -0,0 +1,5 @@
+/** At most once across entry hosts: write-once claims on replicas. */
+export * from "./claim-contract.js";
+export * from "./claim-message.js";
+export { createClaimNode } from "./claim-node.js";
+export type { ClaimHost, ClaimRoster } from "./roster.js";
