--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./lib/consensus/node-context.js";
 export * from "./lib/consensus/node-messages.js";
 export * from "./lib/consensus/state-node.js";
+export * from "./lib/claims/index.js";
 export * from "./lib/detector.js";
 export * from "./lib/directory/directory.js";
 export * from "./lib/directory/relay.js";
