Add the operator's command line

Cause: operators change the two tables and ask what the fleet does; nothing spoke with the hosts yet. Ruled out: a change id for each try, which could apply a change twice after a lost answer; asking the named leader only, which ends with it. Change: cassiapick with the tables commands, hosts, pools and addresses; tables errors with line and column, the nearest name and duplicates refused; the client of admin addresses in platform, shared with the report.

--- /dev/null
+++ b/packages/ctl/src/lib/context.ts
@@ -0,0 +1,69 @@
+/** What every command is given: the global options, checked. */
+import type { EntryClient, PeerAddress } from "@cassiapick/platform";
+import { createEntryClient, readTokenFile } from "@cassiapick/platform";
+import { failWith } from "./command-result.js";
+import type { CommandResult } from "./command-result.js";
+import { createStateClient } from "./state-client.js";
+import type { StateClient } from "./state-client.js";
+
+/** The options that every command takes. */
+export interface GlobalOptions {
+    stateHosts: PeerAddress[];
+    entryHosts: PeerAddress[];
+    tokenFile: string | undefined;
+    /** How long a command may take to get its answer, in milliseconds. */
+    timeoutMs: number;
+}
+
+const need = (flag: string, example: string): CommandResult =>
+    failWith({ kind: "usage", message: `${flag} is missing. Give it as in ${flag} '${example}', or set its variable.` });
+
+const readToken = (path: string | undefined): { ok: true; token: string; } | { ok: false; result: CommandResult; } => {
+    if (path === undefined) {
+        return { ok: false, result: need("--token-file", "/etc/cassiapick/operators.token") };
+    }
+    try {
+        return { ok: true, token: readTokenFile(path).current };
+    }
+    catch (err) {
+        const message = `The token file can't be read: ${(err as Error).message}`;
+        return { ok: false, result: failWith({ kind: "usage", message }) };
+    }
+};
+
+/** Runs `work` with a client for the state hosts and closes the client afterwards. */
+export const withStateHosts = async (
+    options: GlobalOptions,
+    work: (client: StateClient) => Promise<CommandResult>,
+): Promise<CommandResult> => {
+    if (options.stateHosts.length === 0) {
+        return need("--state-hosts", "state-1=10.0.0.1:7001,state-2=10.0.0.2:7001");
+    }
+    const token = readToken(options.tokenFile);
+    if (!token.ok) {
+        return token.result;
+    }
+    const client = createStateClient({ hosts: options.stateHosts, token: token.token, timeoutMs: options.timeoutMs });
+    try {
+        return await work(client);
+    }
+    finally {
+        client.close();
+    }
+};
+
+/** Runs `work` with a client for the admin addresses of the entry hosts. */
+export const withEntryHosts = async (
+    options: GlobalOptions,
+    work: (client: EntryClient) => Promise<CommandResult>,
+): Promise<CommandResult> => {
+    if (options.entryHosts.length === 0) {
+        return need("--entry-hosts", "entry-1=10.0.1.1:7100,entry-2=10.0.1.2:7100");
+    }
+    const token = readToken(options.tokenFile);
+    if (!token.ok) {
+        return token.result;
+    }
+    const hosts = options.entryHosts.map(({ hostId, host, port }) => ({ hostId, address: `${host}:${port}` }));
+    return work(createEntryClient({ hosts, token: token.token, timeoutMs: options.timeoutMs }));
+};
--- /dev/null
+++ b/packages/ctl/src/lib/tables-commands.ts
@@ -0,0 +1,115 @@
+/** The commands `tables check`, `tables show`, `tables diff` and `tables history`. */
+import { formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
+import type { Tables, VersionedTables } from "@cassiapick/core";
+import { formatTables, parseTables } from "@cassiapick/platform";
+import { readFileSync } from "node:fs";
+import { failWith, succeed } from "./command-result.js";
+import type { CommandResult } from "./command-result.js";
+import { withStateHosts } from "./context.js";
+import type { GlobalOptions } from "./context.js";
+import { changeResultOf } from "./reply-result.js";
+import type { StateClient } from "./state-client.js";
+import { diffTables, renderDiff } from "./tables-diff.js";
+import { renderTable } from "./text-table.js";
+
+/** The two files of a command. */
+export interface TablesPaths {
+    routes: string;
+    pools: string;
+}
+
+export type TablesRead = { ok: true; tables: Tables; } | { ok: false; result: CommandResult; };
+
+/** Reads and checks the two files; the result of a failure says where they are wrong. */
+export const readTables = (paths: TablesPaths): TablesRead => {
+    let routesText: string;
+    let poolsText: string;
+    try {
+        routesText = readFileSync(paths.routes, "utf8");
+        poolsText = readFileSync(paths.pools, "utf8");
+    }
+    catch (err) {
+        const message = `A tables file can't be read: ${(err as Error).message}. Name the routes file, then the pools file.`;
+        return { ok: false, result: failWith({ kind: "usage", message }) };
+    }
+    const parsed = parseTables(routesText, poolsText);
+    if (parsed.ok) {
+        return parsed;
+    }
+    const lines = parsed.errs.map(err => `${paths[err.file]}:${err.line}:${err.column}: ${err.place}: ${err.message}`);
+    return { ok: false, result: failWith({ kind: "tables-invalid", message: lines.join("\n"), places: parsed.errs }) };
+};
+
+/** Reads the tables in force from a majority of the state hosts. */
+export const readCurrent = async (
+    client: StateClient,
+): Promise<{ ok: true; versioned: VersionedTables; } | { ok: false; result: CommandResult; }> => {
+    const answer = await client.ask({ kind: StateRequestKind.Read });
+    return answer.ok && answer.reply.kind === StateReplyKind.Tables
+        ? { ok: true, versioned: answer.reply.versioned }
+        : { ok: false, result: changeResultOf(answer) };
+};
+
+/** `tables check`: needs no host. */
+export const checkTables = (paths: TablesPaths): CommandResult => {
+    const read = readTables(paths);
+    if (!read.ok) {
+        return read.result;
+    }
+    const { routes, pools } = read.tables;
+    const brands = new Set(routes.map(route => route.brand)).size;
+    return succeed(`The tables are valid: ${routes.length} routes of ${brands} brands, ${pools.length} pools.`, {
+        routes: routes.length,
+        brands,
+        pools: pools.length,
+    });
+};
+
+/** `tables show`: both tables as YAML, or one of them so that it can be saved to a file. */
+export const showTables = (options: GlobalOptions, table: "routes" | "pools" | undefined): Promise<CommandResult> =>
+    withStateHosts(options, async client => {
+        const current = await readCurrent(client);
+        if (!current.ok) {
+            return current.result;
+        }
+        const { version, tables } = current.versioned;
+        const texts = formatTables(tables);
+        const text = table === undefined
+            ? `# version ${formatVersion(version)}\n# routes\n${texts.routes}---\n# pools\n${texts.pools}`
+            : texts[table];
+        return succeed(text.trimEnd(), current.versioned);
+    });
+
+/** `tables diff`: what applying the two files would change. */
+export const diffWithCurrent = (options: GlobalOptions, paths: TablesPaths): Promise<CommandResult> => {
+    const read = readTables(paths);
+    if (!read.ok) {
+        return Promise.resolve(read.result);
+    }
+    return withStateHosts(options, async client => {
+        const current = await readCurrent(client);
+        if (!current.ok) {
+            return current.result;
+        }
+        const { version, tables } = current.versioned;
+        const diffs = diffTables(tables, read.tables);
+        return succeed(`Against version ${formatVersion(version)}:\n${renderDiff(diffs)}`, { version, diffs });
+    });
+};
+
+/** `tables history`: the latest accepted changes, newest first. */
+export const showHistory = (options: GlobalOptions, limit: number): Promise<CommandResult> =>
+    withStateHosts(options, async client => {
+        const answer = await client.ask({ kind: StateRequestKind.History, limit });
+        if (!answer.ok || answer.reply.kind !== StateReplyKind.History) {
+            return changeResultOf(answer);
+        }
+        const { entries } = answer.reply;
+        const rows = entries.map(entry => [
+            formatVersion(entry.version),
+            new Date(entry.acceptedAt).toISOString(),
+            entry.author,
+            entry.changeId,
+        ]);
+        return succeed(renderTable(["VERSION", "ACCEPTED", "AUTHOR", "CHANGE"], rows), { entries });
+    });
