Grant slots fairly, near first, and refuse at once under overload

Cause: the first scheduler had an unbounded wait, no fairness between brands and no reaction to shed requests. Ruled out: an earliest-deadline order, which lets one brand with short deadlines starve the others; evicting a waiting request, which refuses late. Change: small modules for the ledger of slots, the fair queue, hold-backs with growing pauses, slow start, shares by role and the estimate of the wait. The contract grows by Submit.allowExcluded, Shed.attemptId, the event Share and nextTickAt.

--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -1,157 +1,192 @@
 /** Grants the slots of one pool's members to requests. */
+import { hash32 } from "./hash.js";
 import { RefusalKind } from "./outcome.js";
+import { createFairQueue } from "./scheduling/fair-queue.js";
+import type { Waiting } from "./scheduling/fair-queue.js";
+import { createHoldBacks } from "./scheduling/hold-back.js";
+import { createPicker } from "./scheduling/picker.js";
+import { SchedulerActionKind, SchedulerEventKind } from "./scheduling/scheduler-contract.js";
+import type { Scheduler, SchedulerAction, SchedulerCfg, SchedulerEvent } from "./scheduling/scheduler-contract.js";
+import { createSlotLedger } from "./scheduling/slot-ledger.js";
+import { createSlowStart } from "./scheduling/slow-start.js";
+import { createWaitEstimate } from "./scheduling/wait-estimate.js";
 
-/** A member that may be picked. */
-export interface SchedulerMember {
-    serverId: string;
-    region: string;
-    availabilityZone: string;
-    slots: number;
-    cold: boolean;
-    /** Whether only the floor keeps it; such a member is picked last. */
-    keptByFloor: boolean;
-}
-
-export enum SchedulerEventKind {
-    Submit = "submit",
-    Release = "release",
-    Cancel = "cancel",
-    Members = "members",
-    Shed = "shed",
-    Tick = "tick",
-}
-
-export type SchedulerEvent =
-    /** A request, or a further attempt of it, wants a slot. */
-    | { kind: SchedulerEventKind.Submit; attemptId: string; brand: string; deadlineAt: number; exclude: string[]; }
-    /** A granted attempt ended and frees its slot. */
-    | { kind: SchedulerEventKind.Release; attemptId: string; }
-    /** A queued attempt is no longer wanted. */
-    | { kind: SchedulerEventKind.Cancel; attemptId: string; }
-    /** The members that may be picked changed; attempts in flight stay counted. */
-    | { kind: SchedulerEventKind.Members; members: SchedulerMember[]; }
-    /** A backend server shed a request, and wants no work for a while. */
-    | { kind: SchedulerEventKind.Shed; serverId: string; retryAfterMs: number; }
-    | { kind: SchedulerEventKind.Tick; };
-
-export enum SchedulerActionKind {
-    Grant = "grant",
-    Refuse = "refuse",
-}
-
-export type SchedulerAction =
-    | { kind: SchedulerActionKind.Grant; attemptId: string; serverId: string; }
-    | {
-        kind: SchedulerActionKind.Refuse;
-        attemptId: string;
-        reason: RefusalKind.NoCapacity | RefusalKind.NoServers | RefusalKind.DeadlinePassed;
-        /** When the caller should ask again. */
-        retryAfterMs: number;
-    };
+export * from "./scheduling/scheduler-contract.js";
+export * from "./scheduling/slot-share.js";
 
-/** Options of {@link createScheduler}. */
-export interface SchedulerCfg {
-    region: string;
-    availabilityZone: string;
-    /** The most attempts that wait for a slot. */
-    queueLimit: number;
-}
+type EventOf<K extends SchedulerEventKind> = Extract<SchedulerEvent, { kind: K; }>;
+type Handlers = { [K in SchedulerEventKind]: (event: EventOf<K>, now: number) => SchedulerAction[]; };
+type RefuseReason = Extract<SchedulerAction, { kind: SchedulerActionKind.Refuse; }>["reason"];
 
-/** The scheduler of one pool. Times are in milliseconds. */
-export interface Scheduler {
-    step(event: SchedulerEvent, now: number): SchedulerAction[];
-    /** Attempts that hold a slot, per member. */
-    inFlight(serverId: string): number;
-    queued(): number;
-}
+const defaultMaxWaitMs = 500;
+const defaultSlowStartStepMs = 1000;
 
-const defaultRetryAfterMs = 250;
+/** The share of the time to its deadline that an attempt may wait; the rest is for serving it, or for asking elsewhere. */
+const waitShare = 0.5;
 
-/** Creates the scheduler of one pool. */
-export const createScheduler = (cfg: SchedulerCfg): Scheduler => {
-    let members: SchedulerMember[] = [];
-    const holders = new Map<string, string>();
-    const busy = new Map<string, number>();
-    const queue: { attemptId: string; exclude: string[]; }[] = [];
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 5000;
+const noServersRetryAfterMs = 1000;
+const hashRange = 2 ** 32;
 
-    const inFlight = (serverId: string): number => busy.get(serverId) ?? 0;
+/** Spreads callers that were refused together over as much time again. */
+const spread = (attemptId: string, ms: number): number => Math.round(ms * (1 + hash32(attemptId) / hashRange));
 
-    const distance = (member: SchedulerMember): number => {
-        if (member.availabilityZone === cfg.availabilityZone) {
-            return 0;
+/** Creates the scheduler of one pool. */
+export const createScheduler = (cfg: SchedulerCfg): Scheduler => {
+    const ledger = createSlotLedger();
+    const holdBacks = createHoldBacks();
+    const slowStart = createSlowStart(cfg.slowStartStepMs ?? defaultSlowStartStepMs);
+    const picker = createPicker({ cfg, ledger, holdBacks, slowStart });
+    const queue = createFairQueue(cfg.queueLimit);
+    const estimate = createWaitEstimate();
+    const queuedIds = new Set<string>();
+
+    const expectedWaitMs = (brand: string, now: number): number => {
+        const slots = picker.grantableSlots(now);
+        if (slots > 0) {
+            return estimate.waitMs(queue.ahead(brand), slots);
         }
-        return member.region === cfg.region ? 1 : 2;
+        const openingMs = (holdBacks.nextEndAt(now) ?? Infinity) - now;
+        return openingMs + estimate.waitMs(queue.ahead(brand), picker.poolSlots());
+    };
+
+    const retryAfter = (attemptId: string, brand: string, now: number): number => {
+        const waitMs = picker.isEmpty() ? noServersRetryAfterMs : expectedWaitMs(brand, now);
+        return spread(attemptId, Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)));
     };
 
-    const pick = (exclude: string[]): SchedulerMember | undefined => {
-        const free = members.filter(member => inFlight(member.serverId) < member.slots && !exclude.includes(member.serverId));
-        const rank = (member: SchedulerMember): number =>
-            (member.keptByFloor ? 10 : 0) + distance(member) + inFlight(member.serverId) / member.slots;
-        return free.sort((a, b) => rank(a) - rank(b))[0];
+    const refuse = (attemptId: string, brand: string, reason: RefuseReason, now: number): SchedulerAction => {
+        queuedIds.delete(attemptId);
+        return { kind: SchedulerActionKind.Refuse, attemptId, reason, retryAfterMs: retryAfter(attemptId, brand, now) };
     };
 
-    const grant = (attemptId: string, serverId: string): SchedulerAction => {
-        holders.set(attemptId, serverId);
-        busy.set(serverId, inFlight(serverId) + 1);
+    const grant = (attemptId: string, serverId: string, now: number): SchedulerAction => {
+        queuedIds.delete(attemptId);
+        ledger.take(attemptId, serverId, now);
         return { kind: SchedulerActionKind.Grant, attemptId, serverId };
     };
 
-    const drain = (): SchedulerAction[] => {
+    const refuseIf = (isUnwanted: (waiting: Waiting) => boolean, now: number): SchedulerAction[] => {
+        const reason = picker.isEmpty() ? RefusalKind.NoServers : RefusalKind.NoCapacity;
+        return queue.removeIf(isUnwanted).map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
+    };
+
+    const grantWaiting = (now: number): SchedulerAction[] => {
         const actions: SchedulerAction[] = [];
-        for (let next = queue[0]; next !== undefined; next = queue[0]) {
-            const member = pick(next.exclude);
-            if (member === undefined) {
-                break;
-            }
-            queue.shift();
-            actions.push(grant(next.attemptId, member.serverId));
+        const match = (waiting: Waiting): string | undefined => picker.pick(waiting, now)?.serverId;
+        for (let next = queue.takeFirst(match); next !== undefined; next = queue.takeFirst(match)) {
+            actions.push(grant(next.waiting.attemptId, next.found, now));
         }
         return actions;
     };
 
-    const submit = (attemptId: string, exclude: string[]): SchedulerAction[] => {
-        const reason = members.length === 0 ? RefusalKind.NoServers : RefusalKind.NoCapacity;
-        if (members.length === 0 || queue.length >= cfg.queueLimit) {
-            return [{ kind: SchedulerActionKind.Refuse, attemptId, reason, retryAfterMs: defaultRetryAfterMs }];
+    // The expired go first, so that no slot is spent on a caller who is about to give up.
+    const drain = (now: number): SchedulerAction[] => [
+        ...refuseIf(waiting => waiting.refuseAt <= now, now),
+        ...grantWaiting(now),
+    ];
+
+    const refusalOf = (event: EventOf<SchedulerEventKind.Submit>, waiting: Waiting, now: number): RefuseReason | undefined => {
+        if (event.deadlineAt <= now) {
+            return RefusalKind.DeadlinePassed;
         }
-        queue.push({ attemptId, exclude });
-        return drain();
+        if (picker.isEmpty()) {
+            return RefusalKind.NoServers;
+        }
+        const isFull = !picker.canServe(waiting) || !queue.admits(event.brand);
+        return isFull || now + expectedWaitMs(event.brand, now) > waiting.refuseAt ? RefusalKind.NoCapacity : undefined;
+    };
+
+    const waitingOf = (event: EventOf<SchedulerEventKind.Submit>, now: number): Waiting => {
+        const maxWaitMs = Math.min(cfg.maxWaitMs ?? defaultMaxWaitMs, (event.deadlineAt - now) * waitShare);
+        const { attemptId, brand, exclude, allowExcluded } = event;
+        return { attemptId, brand, refuseAt: now + maxWaitMs, exclude, allowExcluded: allowExcluded ?? false };
     };
 
-    const release = (attemptId: string): SchedulerAction[] => {
-        const serverId = holders.get(attemptId);
-        if (serverId === undefined) {
+    const submit = (event: EventOf<SchedulerEventKind.Submit>, now: number): SchedulerAction[] => {
+        if (queuedIds.has(event.attemptId) || ledger.holds(event.attemptId)) {
             return [];
         }
-        holders.delete(attemptId);
-        busy.set(serverId, inFlight(serverId) - 1);
-        return drain();
+        const waiting = waitingOf(event, now);
+        const actions = drain(now);
+        const serverId = event.deadlineAt > now ? picker.pick(waiting, now)?.serverId : undefined;
+        if (serverId !== undefined) {
+            return [...actions, grant(event.attemptId, serverId, now)];
+        }
+        const reason = refusalOf(event, waiting, now);
+        if (reason !== undefined) {
+            return [...actions, refuse(event.attemptId, event.brand, reason, now)];
+        }
+        queuedIds.add(event.attemptId);
+        queue.push(waiting);
+        return actions;
+    };
+
+    const free = (attemptId: string, now: number): void => {
+        const released = ledger.release(attemptId, now);
+        if (released !== undefined) {
+            estimate.learn(released.heldMs);
+        }
     };
 
-    const cancel = (attemptId: string): SchedulerAction[] => {
-        const index = queue.findIndex(waiting => waiting.attemptId === attemptId);
-        if (index >= 0) {
-            queue.splice(index, 1);
+    // Nobody waits for members that are gone.
+    const refuseUnservable = (now: number): SchedulerAction[] => [
+        ...refuseIf(waiting => !picker.canServe(waiting), now),
+        ...drain(now),
+    ];
+
+    const setMembers = (event: EventOf<SchedulerEventKind.Members>, now: number): SchedulerAction[] => {
+        picker.setMembers(event.members);
+        slowStart.update(event.members, now);
+        holdBacks.keep(new Set(event.members.map(member => member.serverId)));
+        return refuseUnservable(now);
+    };
+
+    const shed = (event: EventOf<SchedulerEventKind.Shed>, now: number): SchedulerAction[] => {
+        const { serverId, retryAfterMs, attemptId } = event;
+        const isStillHeld = attemptId === undefined;
+        if (attemptId !== undefined) {
+            // A shed request was not run, so its time teaches nothing about how long a slot is held.
+            ledger.release(attemptId, now);
         }
-        return [];
+        const othersInFlight = Math.max(0, ledger.inFlight(serverId) - (isStillHeld ? 1 : 0));
+        holdBacks.shed(serverId, { retryAfterMs, othersInFlight, now });
+        return drain(now);
+    };
+
+    const handlers: Handlers = {
+        [SchedulerEventKind.Submit]: submit,
+        [SchedulerEventKind.Release]: (event, now) => {
+            free(event.attemptId, now);
+            return drain(now);
+        },
+        [SchedulerEventKind.Cancel]: (event, now) => {
+            queuedIds.delete(event.attemptId);
+            queue.remove(event.attemptId);
+            return drain(now);
+        },
+        [SchedulerEventKind.Members]: setMembers,
+        [SchedulerEventKind.Shed]: shed,
+        [SchedulerEventKind.Share]: (event, now) => {
+            picker.setShare(event.share);
+            return refuseUnservable(now);
+        },
+        [SchedulerEventKind.Tick]: (_event, now) => drain(now),
+    };
+
+    const step = (event: SchedulerEvent, now: number): SchedulerAction[] => {
+        const handler = handlers[event.kind] as (event: SchedulerEvent, now: number) => SchedulerAction[];
+        return handler(event, now);
     };
 
-    const step = (event: SchedulerEvent, _now: number): SchedulerAction[] => {
-        switch (event.kind) {
-            case SchedulerEventKind.Submit:
-                return submit(event.attemptId, event.exclude);
-            case SchedulerEventKind.Release:
-                return release(event.attemptId);
-            case SchedulerEventKind.Cancel:
-                return cancel(event.attemptId);
-            case SchedulerEventKind.Members:
-                members = event.members;
-                return drain();
-            case SchedulerEventKind.Shed:
-            case SchedulerEventKind.Tick:
-                return [];
+    const nextTickAt = (now: number): number | undefined => {
+        if (queue.size() === 0) {
+            return undefined;
         }
+        const times = [queue.nextRefusalAt(), holdBacks.nextEndAt(now), slowStart.nextStepAt(now)];
+        return Math.min(...times.filter(time => time !== undefined));
     };
 
-    return { step, inFlight, queued: () => queue.length };
+    return { step, inFlight: serverId => ledger.inFlight(serverId), queued: () => queue.size(), nextTickAt };
 };
--- /dev/null
+++ b/packages/core/src/test/scheduler_test.ts
@@ -0,0 +1,195 @@
+import { expect } from "chai";
+import { createScheduler, RefusalKind, SchedulerActionKind, SchedulerEventKind, SlotShareKind } from "../index.js";
+import type { Scheduler, SchedulerAction, SchedulerEvent, SchedulerMember } from "../index.js";
+
+const cfg = { region: "quebec", availabilityZone: "quebec-a", queueLimit: 20 };
+const farDeadline = 1_000_000;
+
+const member = (serverId: string, options: Partial<SchedulerMember> = {}): SchedulerMember => ({
+    serverId,
+    region: "quebec",
+    availabilityZone: "quebec-a",
+    slots: 3,
+    cold: false,
+    keptByFloor: false,
+    ...options,
+});
+
+const createPool = (members: SchedulerMember[]): Scheduler => {
+    const scheduler = createScheduler(cfg);
+    scheduler.step({ kind: SchedulerEventKind.Members, members }, 0);
+    return scheduler;
+};
+
+type Submit = Extract<SchedulerEvent, { kind: SchedulerEventKind.Submit; }>;
+
+const submit = (attemptId: string, options: Partial<Submit> = {}): SchedulerEvent => ({
+    kind: SchedulerEventKind.Submit,
+    attemptId,
+    brand: "parish",
+    deadlineAt: farDeadline,
+    exclude: [],
+    ...options,
+});
+
+const describeAction = (action: SchedulerAction): string =>
+    action.kind === SchedulerActionKind.Grant ? action.serverId : action.reason;
+
+const submitMany = (scheduler: Scheduler, count: number, options: Partial<Submit> = {}, now = 0): string[] =>
+    Array.from(
+        { length: count },
+        (_, index) => scheduler.step(submit(`${options.brand ?? "parish"}-${now}-${index}`, options), now),
+    )
+        .flat()
+        .map(describeAction);
+
+const other = member("other-zone", { availabilityZone: "quebec-b" });
+const remote = member("remote", { region: "montreal", availabilityZone: "montreal-a" });
+
+describe("scheduler picks", () => {
+    const cases: { name: string; members: SchedulerMember[]; count: number; picked: string[]; }[] = [
+        {
+            name: "its own zone, then the region",
+            members: [other, member("own", { slots: 1 })],
+            count: 2,
+            picked: ["own", "other-zone"],
+        },
+        { name: "the least loaded", members: [member("a"), member("b")], count: 4, picked: ["a", "b", "a", "b"] },
+        {
+            name: "no remote member while its region serves",
+            members: [member("own", { slots: 1 }), remote],
+            count: 2,
+            picked: ["own"],
+        },
+        { name: "remote members when its region has none", members: [remote], count: 2, picked: ["remote", "remote"] },
+        {
+            name: "one kept by the floor last",
+            members: [member("ill", { keptByFloor: true }), other],
+            count: 4,
+            picked: ["other-zone", "other-zone", "other-zone", "ill"],
+        },
+        { name: "one slot of a cold member", members: [member("cold", { cold: true })], count: 2, picked: ["cold"] },
+        { name: "nobody without members", members: [], count: 1, picked: [RefusalKind.NoServers] },
+    ];
+    for (const { name, members, count, picked } of cases) {
+        it(name, () => {
+            expect(submitMany(createPool(members), count)).to.deep.equal(picked);
+        });
+    }
+
+    it("gives a cold member one slot more with each step", () => {
+        const scheduler = createPool([member("cold", { cold: true })]);
+        submitMany(scheduler, 3, { deadlineAt: farDeadline });
+        expect(scheduler.inFlight("cold")).to.equal(1);
+        submitMany(scheduler, 1, {}, 1000);
+        expect(scheduler.inFlight("cold")).to.equal(2);
+    });
+
+    it("keeps a stand-by to a quarter of the pool and to one slot of a member", () => {
+        const scheduler = createPool(["a", "b", "c", "d"].map(serverId => member(serverId)));
+        scheduler.step({ kind: SchedulerEventKind.Share, share: { kind: SlotShareKind.StandBy } }, 0);
+        expect(submitMany(scheduler, 5)).to.deep.equal(["a", "b", "c"]);
+    });
+
+    it("splits the slots exactly among several owners", () => {
+        const members = ["a", "b", "c", "d"].map(serverId => member(serverId));
+        const granted = [0, 1].map(ownerIndex => {
+            const scheduler = createPool(members);
+            scheduler.step({ kind: SchedulerEventKind.Share, share: { kind: SlotShareKind.Owner, ownerIndex, owners: 2 } }, 0);
+            return submitMany(scheduler, 12).length;
+        });
+        expect(granted[0]! + granted[1]!).to.equal(12);
+    });
+
+    const excludes = [
+        { allowExcluded: false, members: ["a"], picked: [RefusalKind.NoCapacity] },
+        { allowExcluded: true, members: ["a"], picked: ["a"] },
+        { allowExcluded: true, members: ["a", "b"], picked: ["b"] },
+    ];
+    for (const { allowExcluded, members, picked } of excludes) {
+        it(`excludes "a" of ${members.join()} when falling back is ${allowExcluded ? "" : "not "}allowed`, () => {
+            const scheduler = createPool(members.map(serverId => member(serverId)));
+            expect(submitMany(scheduler, 1, { exclude: ["a"], allowExcluded })).to.deep.equal(picked);
+        });
+    }
+});
+
+describe("scheduler queues", () => {
+    it("takes turns between brands", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        submitMany(scheduler, 6, { brand: "loud" });
+        submitMany(scheduler, 2, { brand: "quiet" });
+        const order: string[] = [];
+        let holder = "loud-0-0";
+        for (let turn = 0; turn < 5; turn += 1) {
+            const actions = scheduler.step({ kind: SchedulerEventKind.Release, attemptId: holder }, 1);
+            holder = actions[0]!.attemptId;
+            order.push(holder);
+        }
+        expect(order).to.deep.equal(["loud-0-1", "quiet-0-0", "loud-0-2", "quiet-0-1", "loud-0-3"]);
+    });
+
+    it("leaves room for a quiet brand when a loud one fills the queue", () => {
+        const scheduler = createPool([member("a")]);
+        const loud = submitMany(scheduler, 60, { brand: "loud" });
+        expect(loud).to.include(RefusalKind.NoCapacity);
+        expect(submitMany(scheduler, 1, { brand: "quiet" })).to.deep.equal([]);
+    });
+
+    it("refuses at once what could not be served in time", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        submitMany(scheduler, 1);
+        // One slot that is held for 50 ms does not come free in half of 40 ms.
+        expect(submitMany(scheduler, 1, { brand: "late", deadlineAt: 40 })).to.deep.equal([RefusalKind.NoCapacity]);
+        expect(submitMany(scheduler, 1, { brand: "past", deadlineAt: 0 })).to.deep.equal([RefusalKind.DeadlinePassed]);
+    });
+
+    it("refuses one that waits when half of its time is gone", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        submitMany(scheduler, 1);
+        submitMany(scheduler, 1, { brand: "waits", deadlineAt: 400 });
+        expect(scheduler.nextTickAt(0)).to.equal(200);
+        expect(scheduler.step({ kind: SchedulerEventKind.Tick }, 199)).to.deep.equal([]);
+        expect(scheduler.step({ kind: SchedulerEventKind.Tick }, 200).map(describeAction)).to.deep.equal([
+            RefusalKind.NoCapacity,
+        ]);
+    });
+
+    it("refuses the waiting at once when the last member goes", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        submitMany(scheduler, 2);
+        const actions = scheduler.step({ kind: SchedulerEventKind.Members, members: [] }, 1);
+        expect(actions.map(describeAction)).to.deep.equal([RefusalKind.NoServers]);
+    });
+});
+
+describe("scheduler holds back a member that shed", () => {
+    const shed = (scheduler: Scheduler, attemptId: string, now: number): void => {
+        scheduler.step({ kind: SchedulerEventKind.Shed, serverId: "a", retryAfterMs: 0, attemptId }, now);
+    };
+
+    it("for growing pauses", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        const pauses: number[] = [];
+        let now = 0;
+        for (let round = 0; round < 4; round += 1) {
+            scheduler.step(submit(`round-${round}`), now);
+            shed(scheduler, `round-${round}`, now);
+            scheduler.step(submit(`next-${round}`), now);
+            const endAt = scheduler.nextTickAt(now)!;
+            pauses.push(endAt - now);
+            scheduler.step({ kind: SchedulerEventKind.Cancel, attemptId: `next-${round}` }, now);
+            now = endAt;
+        }
+        expect(pauses).to.deep.equal([20, 40, 80, 160]);
+    });
+
+    it("and keeps the slots that it did serve", () => {
+        const scheduler = createPool([member("a")]);
+        submitMany(scheduler, 3);
+        shed(scheduler, "parish-0-2", 1);
+        expect(scheduler.inFlight("a")).to.equal(2);
+        scheduler.step({ kind: SchedulerEventKind.Release, attemptId: "parish-0-0" }, 2);
+        expect(submitMany(scheduler, 2, { brand: "next" }, 2)).to.deep.equal(["a"]);
+    });
+});
