Run the whole path as separate processes

Cause: the parts had not yet met; a demo that ended early left its processes behind. Ruled out: a hang of the state hosts (they served; the operator's token was not among theirs, so the apply failed and the launcher's children kept its output open). Change: state hosts of the demo accept the operator's token; the launcher ends what it started when it ends early.

--- a/packages/demo/src/lib/child-process.ts
+++ b/packages/demo/src/lib/child-process.ts
@@ -29,6 +29,15 @@
 const startTimeoutMs = 30_000;
 const packagesFolder = fileURLToPath(new URL("../../../", import.meta.url));
 
+const running = new Set<ChildProcess>();
+
+// A demo that ends early must leave no process behind; after a graceful stop there is none left to kill.
+process.on("exit", () => {
+    for (const child of running) {
+        child.kill("SIGKILL");
+    }
+});
+
 const watchExit = (child: ChildProcess): Promise<number> =>
     new Promise(resolve => {
         child.once("exit", code => resolve(code ?? -1));
@@ -58,7 +67,9 @@
             stdio: ["ignore", "pipe", "inherit"],
             env: { ...process.env, ...options.env },
         });
+        running.add(child);
         const exited = watchExit(child);
+        void exited.then(() => running.delete(child));
         const lines: string[] = [];
         const timer = setTimeout(() => {
             child.kill("SIGKILL");
--- a/packages/demo/src/lib/demo-fleet.ts
+++ b/packages/demo/src/lib/demo-fleet.ts
@@ -66,6 +66,9 @@
         // Every run of the demo has tokens of its own; they never leave its folder.
         writeFileSync(join(folder, `${name}.token`), `${name}-${crypto.randomUUID()}\n`, { mode: 0o600 });
     }
+    // State hosts take requests from the fleet's hosts and from operators.
+    const both = ["fleet", "operator"].map(name => readFileSync(join(folder, `${name}.token`), "utf8"));
+    writeFileSync(join(folder, "state.token"), both.join(""), { mode: 0o600 });
 };
 
 /** Starts everything; resolves when all processes serve and the tables are applied. */
@@ -108,7 +111,7 @@
                     "--peers",
                     listOf(statePeers),
                 ],
-                ...["--data-dir", dataDir, "--token-file", tokenFile("fleet"), "--bootstrap", "true"],
+                ...["--data-dir", dataDir, "--token-file", tokenFile("state"), "--bootstrap", "true"],
             ],
         });
     }));
@@ -130,7 +133,7 @@
 
     const entryAdmins = entries.map(({ self }) => `${self.hostId}=${self.adminHost}:${self.adminPort}`).join(",");
     const operatorArgs = [
-        ...["--state-hosts", listOf(statePeers), "--state-token-file", tokenFile("fleet")],
+        ...["--state-hosts", listOf(statePeers)],
         ...["--entry-hosts", entryAdmins, "--token-file", tokenFile("operator")],
     ];
     const operate = (args: string[]): Promise<{ code: number; output: string; }> =>
--- a/packages/demo/src/lib/run-until-stopped.ts
+++ b/packages/demo/src/lib/run-until-stopped.ts
@@ -47,6 +47,8 @@
     const fleet = await startDemoFleet();
     await waitUntilReady(fleet);
     console.log(describe(fleet));
+    process.removeAllListeners("SIGINT");
+    process.removeAllListeners("SIGTERM");
     await new Promise<void>(resolve => {
         process.once("SIGINT", () => resolve());
         process.once("SIGTERM", () => resolve());
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -9,6 +9,11 @@
     .strict()
     .parseSync();
 
+// A signal before the fleet is up ends the demo at once; its exit handler ends the processes.
+const abort = (): void => process.exit(1);
+process.once("SIGTERM", abort);
+process.once("SIGINT", abort);
+
 if (args.once) {
     const isRight = await runOnce();
     process.exit(isRight ? 0 : 1);
