--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -50,11 +50,14 @@
     const ctx: NodeContext = createNodeContext(cfg, log, machine, () => actions);
     // Until these are committed or replaced, the applied tables may be older than before the start.
     let uncertainIndex = log.lastIndex();
+    let caughtUp = false;
 
     const leads = (): boolean => ctx.role === StateRole.Leader && !leaving;
     const isCaughtUp = (): boolean => {
         uncertainIndex = Math.min(uncertainIndex, log.lastIndex());
-        return ctx.commitIndex >= uncertainIndex;
+        // A host that lost its disk knows as much as before once its return among the voters is committed.
+        caughtUp ||= ctx.commitIndex >= uncertainIndex && log.voters(ctx.commitIndex)[ctx.hostId] === ctx.hard.incarnation;
+        return caughtUp;
     };
 
     const applyEntry = (entry: LogEntry): void => {
