Let the proof of the configuration see more elections

Change: times ten times shorter, messages that take a detour, cuts of half of all links, a power cut of every host, and a host that falls behind before a crash.

--- a/packages/proofs/src/lib/config-cluster.ts
+++ b/packages/proofs/src/lib/config-cluster.ts
@@ -4,7 +4,10 @@
 import type { FakeClock } from "./config-clock.js";
 import type { CreateDisk, HostAction, HostDisk, HostProcess } from "./config-contender.js";
 
-const tickMs = 40;
+const tickMs = 4;
+/** Some messages take a detour, so that they arrive when the sender has long gone on. */
+const detourShare = 0.03;
+const detourFactor = 20;
 const maxSeed = 2 ** 31;
 
 /** What the links do to messages, as shares from 0 to 1. */
@@ -107,13 +110,18 @@
         }
         const copies = random.next() < faults.repeated ? 2 : 1;
         for (let copy = 0; copy < copies; copy += 1) {
-            clock.after(1 + random.next() * faults.maxDelayMs, () => {
+            clock.after(delay(), () => {
                 const host = hosts.get(to)!;
                 enter(host, process => process.receive(from, message, clock.now()));
             });
         }
     };
 
+    const delay = (): number => {
+        const direct = 1 + random.next() * faults.maxDelayMs;
+        return random.next() < detourShare ? direct * detourFactor * random.next() : direct;
+    };
+
     const answer = (requestId: number, reply: StateReply): void => {
         if (random.next() < faults.lost) {
             return;
--- a/packages/proofs/src/lib/config-contender.ts
+++ b/packages/proofs/src/lib/config-contender.ts
@@ -17,10 +17,14 @@
     Random,
     StateReply,
     StateRequest,
+    StateTiming,
     StoredState,
     WriteAction,
 } from "@cassiapick/core";
 
+/** Short times, so that a case sees many elections. */
+const timing: StateTiming = { heartbeatMs: 10, electionMs: 60, requestMs: 400 };
+
 /** What a host does after one event, in order. */
 export type HostAction =
     | { kind: "write"; run: () => void; }
@@ -68,7 +72,7 @@
     const start = (random: Random): HostProcess => {
         const lostDisk = (): HardState => ({ incarnation: drawIncarnation(random), founding: false, term: 0 });
         stored ??= { hardState: lostDisk(), entries: [] };
-        const node = createStateNode({ hostId, hostIds, stored, random, wallClock: () => 0, snapshotEvery });
+        const node = createStateNode({ hostId, hostIds, stored, random, wallClock: () => 0, snapshotEvery, timing });
 
         const adapt = (action: NodeAction): HostAction => {
             if (action.kind === NodeActionKind.Send || action.kind === NodeActionKind.Reply) {
--- a/packages/proofs/src/lib/config-faults.ts
+++ b/packages/proofs/src/lib/config-faults.ts
@@ -3,8 +3,8 @@
 import type { FakeClock } from "./config-clock.js";
 import type { Cluster } from "./config-cluster.js";
 
-const maxPauseBetweenMs = 2000;
-const maxOutageMs = 2500;
+const maxPauseBetweenMs = 200;
+const maxOutageMs = 400;
 
 /** What the faults of one case share. */
 export interface FaultOptions {
@@ -57,6 +57,36 @@
     deafen(options, hostId);
 };
 
+/** Cuts each direction of each link with an even chance, so that no majority may be left. */
+const scramble: Fault = options => {
+    const { cluster, random } = options;
+    const links = cluster.hostIds.flatMap(from => others(cluster, from).map((to): [string, string] => [from, to]));
+    cutLinks(options, links.filter(() => random.next() < 0.5));
+};
+
+/** Crashes every host at once, as a power cut does. */
+const crashAll: Fault = ({ cluster, clock, random }) => {
+    for (const hostId of cluster.hostIds) {
+        cluster.crash(hostId);
+        clock.after(random.next() * maxOutageMs / 4, () => cluster.start(hostId));
+    }
+};
+
+/** Lets one host fall behind, and crashes another when the first one hears again. */
+const lagThenCrash: Fault = (options, hostId) => {
+    const { cluster, clock, random } = options;
+    const links = others(cluster, hostId).map((other): [string, string] => [other, hostId]);
+    for (const [from, to] of links) {
+        cluster.setCut(from, to, true);
+    }
+    clock.after(outage(random), () => {
+        for (const [from, to] of links) {
+            cluster.setCut(from, to, false);
+        }
+        crash(options, others(cluster, hostId)[random.below(links.length)]!);
+    });
+};
+
 /** Loses one disk; the next may be lost the moment the first is a voter again, but not before. */
 const loseDisk: Fault = ({ cluster, clock, random }, hostId) => {
     if (!cluster.allRecovered()) {
@@ -66,7 +96,21 @@
     clock.after(random.next() * maxOutageMs / 4, () => cluster.start(hostId));
 };
 
-const faults: readonly Fault[] = [crash, crash, pause, cutOneWay, mute, deafen, isolate, loseDisk, loseDisk];
+const faults: readonly Fault[] = [
+    crash,
+    crash,
+    pause,
+    cutOneWay,
+    mute,
+    deafen,
+    isolate,
+    scramble,
+    crashAll,
+    lagThenCrash,
+    lagThenCrash,
+    loseDisk,
+    loseDisk,
+];
 
 /** Loses a second disk right after the first one was repaired. */
 const chaseRepair = (options: FaultOptions, first: string): void => {
--- a/packages/proofs/src/lib/config-operators.ts
+++ b/packages/proofs/src/lib/config-operators.ts
@@ -5,8 +5,8 @@
 import type { FakeClock } from "./config-clock.js";
 import type { Cluster } from "./config-cluster.js";
 
-const maxThinkMs = 80;
-const answerTimeoutMs = 700;
+const maxThinkMs = 20;
+const answerTimeoutMs = 100;
 const maxSends = 6;
 /** The shares of what an operator does next. */
 const readShare = 0.25;
--- a/packages/proofs/src/lib/config.ts
+++ b/packages/proofs/src/lib/config.ts
@@ -12,14 +12,14 @@
 import { startOperator } from "./config-operators.js";
 import type { Proof } from "./proof.js";
 
-const cases = 60;
+const cases = 100;
 const maxSeed = 2 ** 31;
-const faultsEndMs = 12_000;
+const faultsEndMs = 4000;
 /** The longest a paused, cut or crashed host stays so after the last fault began. */
-const outagesEndMs = faultsEndMs + 3000;
-const settleMs = 8000;
+const outagesEndMs = faultsEndMs + 1000;
+const settleMs = 2000;
 /** How often crashed hosts are started again, whatever crashed them. */
-const restartMs = 2500;
+const restartMs = 300;
 const operators = 3;
 const maxNotes = 3;
 
@@ -37,7 +37,7 @@
     faults: {
         lost: random.next() * 0.08,
         repeated: random.next() * 0.2,
-        maxDelayMs: 2 + random.next() * 80,
+        maxDelayMs: 1 + random.next() * 8,
         crashInStep: random.next() * 0.001,
     },
 });
