Count lateness in levels and doubt a member that another host suspects

Cause: Careful found a hanging member only at its time-outs (p50 2156 ms), and hosts that send little to a member went on sending after its owner had ejected it (last send p99 about 2 s), as an answer of before the report cleared it. Ruled out: a lower threshold, which pays with false ejections. Change: an attempt in flight counts at seven levels of lateness; what each level proves is learnt from the other members, so a heavy tail proves little. A report of another host is contradicted only by answers after it. Reference figures are kept for 400 ms. Open: trouble of the whole pool still blames members.

--- a/packages/core/src/lib/detection/attempts.ts
+++ b/packages/core/src/lib/detection/attempts.ts
@@ -9,22 +9,11 @@
     levelsCounted: number;
 }
 
-/** A level of lateness: the further over the usual time, the more it proves. */
-export interface LatenessLevel {
-    /** Added to the logarithm of the time at which an attempt is in the tail. */
-    addedLog: number;
-    /** Evidence in nats on top of the level before; the first level's evidence depends on the peers. */
-    evidence: number;
-}
+/** The greatest number of levels of lateness. */
+export const latenessLevels = 7;
 
-/** The levels of lateness, in rising order. */
-export const latenessLevels: readonly LatenessLevel[] = [
-    { addedLog: 0, evidence: 0 },
-    { addedLog: Math.log(1.5), evidence: 1.5 },
-    { addedLog: Math.log(3), evidence: 1.5 },
-    { addedLog: Math.log(8), evidence: 1.5 },
-];
+const levelFactorLog = Math.log(1.4);
 
-/** How many levels a time of `logMs` passes when the tail starts at `tailLog`. */
+/** How many levels a time of `logMs` passes: the first where the tail starts at `tailLog`, each next one 1.4 times later. */
 export const levelsPassed = (logMs: number, tailLog: number): number =>
-    latenessLevels.filter(level => logMs >= tailLog + level.addedLog).length;
+    logMs < tailLog ? 0 : Math.min(latenessLevels, 1 + Math.floor((logMs - tailLog) / levelFactorLog));
--- a/packages/core/src/lib/detection/bad-rate.ts
+++ b/packages/core/src/lib/detection/bad-rate.ts
@@ -8,8 +8,17 @@
     remove(serverId: string): void;
 }
 
-const decayMs = 10_000;
-const priorSamples = 50;
+/** Options of {@link createBadRates}. */
+export interface BadRatesCfg {
+    /** The rate while nothing else is known, and the least one. */
+    usualRate: number;
+    /** How many samples that rate weighs. */
+    priorSamples: number;
+    /** After this time a sample weighs 1/e, in milliseconds. */
+    decayMs: number;
+    isTrusted: (serverId: string) => boolean;
+}
+
 const maxRate = 0.9;
 
 interface Count {
@@ -18,8 +27,9 @@
     at: number;
 }
 
-/** Creates the rates of one pool; `usualRate` holds while nothing else is known. */
-export const createBadRates = (usualRate: number, isTrusted: (serverId: string) => boolean): BadRates => {
+/** Creates the rates of one pool and one kind of request. */
+export const createBadRates = (cfg: BadRatesCfg): BadRates => {
+    const { usualRate, priorSamples, decayMs, isTrusted } = cfg;
     const counts = new Map<string, Count>();
 
     const add = (serverId: string, bad: boolean, now: number): void => {
--- a/packages/core/src/lib/detection/latency-reference.ts
+++ b/packages/core/src/lib/detection/latency-reference.ts
@@ -19,7 +19,7 @@
 const windowSamples = 64;
 const minSamples = 8;
 const maxSampleAgeMs = 60_000;
-const cacheMs = 200;
+const cacheMs = 400;
 const minScale = 0.25;
 const q90Scales = 1.2816;
 
@@ -28,9 +28,10 @@
     next: number;
     lastAt: number;
     summary?: { at: number; reference: LatencyReference; };
+    others?: { at: number; reference: LatencyReference | undefined; };
 }
 
-const quantile = (sorted: number[], share: number): number => sorted[Math.floor(share * (sorted.length - 1))]!;
+const quantile = (sorted: Float64Array, share: number): number => sorted[Math.floor(share * (sorted.length - 1))]!;
 
 const median = (values: number[]): number => {
     const sorted = values.sort((a, b) => a - b);
@@ -40,7 +41,7 @@
 
 const summarize = (window: Window, now: number): LatencyReference => {
     if (window.summary === undefined || now - window.summary.at >= cacheMs) {
-        const sorted = [...window.logs].sort((a, b) => a - b);
+        const sorted = Float64Array.from(window.logs).sort();
         const center = quantile(sorted, 0.5);
         const scale = Math.max(minScale, (quantile(sorted, 0.9) - center) / q90Scales);
         window.summary = { at: now, reference: { center, scale } };
@@ -70,9 +71,9 @@
     const usable = (window: Window, now: number): boolean =>
         window.logs.length >= minSamples && now - window.lastAt <= maxSampleAgeMs;
 
-    const others = (serverId: string, requestKind: string, now: number): LatencyReference | undefined => {
+    const compare = (serverId: string, members: Map<string, Window>, now: number): LatencyReference | undefined => {
         const found: LatencyReference[] = [];
-        for (const [id, window] of kinds.get(requestKind) ?? []) {
+        for (const [id, window] of members) {
             if (id !== serverId && usable(window, now) && isTrusted(id)) {
                 found.push(summarize(window, now));
             }
@@ -83,6 +84,21 @@
         return { center: median(found.map(item => item.center)), scale: median(found.map(item => item.scale)) };
     };
 
+    const others = (serverId: string, requestKind: string, now: number): LatencyReference | undefined => {
+        const members = kinds.get(requestKind);
+        if (members === undefined) {
+            return undefined;
+        }
+        const window = members.get(serverId);
+        if (window === undefined) {
+            return compare(serverId, members, now);
+        }
+        if (window.others === undefined || now - window.others.at >= cacheMs) {
+            window.others = { at: now, reference: compare(serverId, members, now) };
+        }
+        return window.others.reference;
+    };
+
     const remove = (serverId: string): void => {
         for (const members of kinds.values()) {
             members.delete(serverId);
--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -39,6 +39,8 @@
     tick(now: number): void;
     /** The evidence against a member beyond that against the pool, in thresholds. */
     score(serverId: string): number;
+    /** Whether anything speaks against a member; otherwise its score is 0. */
+    isDoubted(serverId: string): boolean;
     /** Whether requests went well at the member after `since`. */
     answeredSince(serverId: string, since: number): boolean;
     members(): string[];
@@ -46,6 +48,12 @@
 
 const usualFailureRate = 0.005;
 const usualTailRate = 0.01;
+const rateSamples = 50;
+const rateDecayMs = 10_000;
+const usualNextLevelRate = 0.2;
+const illNextLevelRate = 0.6;
+const levelSamples = 20;
+const levelDecayMs = 60_000;
 const illAddedRate = 0.25;
 const maxIllRate = 0.95;
 const brokenAnswerEvidence = 1;
@@ -88,6 +96,14 @@
         [Test.Tail]: new Map(),
     };
     const usualRates = { [Test.Failure]: usualFailureRate, [Test.Tail]: usualTailRate };
+    // How often an attempt that passed one level of lateness passes the next: in a pool with a heavy tail, often.
+    const levelRates = Array.from({ length: latenessLevels }, () =>
+        createBadRates({
+            usualRate: usualNextLevelRate,
+            priorSamples: levelSamples,
+            decayMs: levelDecayMs,
+            isTrusted: cfg.isTrusted,
+        }));
     const wellAnswers: { serverId: string; startedAt: number; }[] = [];
 
     const join = (serverId: string, traits: MemberTraits): void => {
@@ -96,7 +112,12 @@
     };
 
     const ratesOf = (test: Test.Failure | Test.Tail, requestKind: string): BadRates => {
-        const found = rates[test].get(requestKind) ?? createBadRates(usualRates[test], cfg.isTrusted);
+        const found = rates[test].get(requestKind) ?? createBadRates({
+            usualRate: usualRates[test],
+            priorSamples: rateSamples,
+            decayMs: rateDecayMs,
+            isTrusted: cfg.isTrusted,
+        });
         rates[test].set(requestKind, found);
         return found;
     };
@@ -107,6 +128,7 @@
         for (const byKind of [rates[Test.Failure], rates[Test.Tail]]) {
             byKind.forEach(item => item.remove(serverId));
         }
+        levelRates.forEach(item => item.remove(serverId));
         for (const [attemptId, attempt] of attempts) {
             if (attempt.serverId === serverId) {
                 attempts.delete(attemptId);
@@ -134,12 +156,20 @@
         rate.add(attempt.serverId, bad, now);
     };
 
+    const countLevel = (level: number, passed: boolean, attempt: Attempt, member: Member, now: number): void => {
+        const rate = levelRates[level]!;
+        const wellRate = rate.others(attempt.serverId);
+        const illRate = Math.max(illNextLevelRate, wellRate);
+        member.evidence.add(Test.Tail, bernoulliEvidence(passed, wellRate, illRate), attempt.startedAt);
+        rate.add(attempt.serverId, passed, now);
+    };
+
     const countLateness = (attempt: Attempt, member: Member, passed: number, now: number): void => {
         if (attempt.levelsCounted === 0 && passed > 0) {
             countRate(Test.Tail, true, attempt, member, now);
         }
-        for (const level of latenessLevels.slice(attempt.levelsCounted, passed)) {
-            member.evidence.add(Test.Tail, level.evidence, attempt.startedAt);
+        for (let level = Math.max(1, attempt.levelsCounted); level < passed; level += 1) {
+            countLevel(level, true, attempt, member, now);
         }
         attempt.levelsCounted = Math.max(attempt.levelsCounted, passed);
     };
@@ -164,6 +194,9 @@
         if (attempt.levelsCounted === 0) {
             countRate(Test.Tail, false, attempt, member, now);
         }
+        else if (attempt.levelsCounted < latenessLevels) {
+            countLevel(attempt.levelsCounted, false, attempt, member, now);
+        }
         const ratio = logMs - reference.center;
         if (!member.cold) {
             member.evidence.add(Test.Shift, shiftEvidence(ratio, reference.scale), attempt.startedAt);
@@ -240,6 +273,11 @@
         );
     };
 
+    const isDoubted = (serverId: string): boolean => {
+        const evidence = members.get(serverId)?.evidence;
+        return evidence !== undefined && tests.some(test => evidence.value(test) >= scoreFloor);
+    };
+
     return {
         join,
         remove,
@@ -248,6 +286,7 @@
         finished,
         tick,
         score,
+        isDoubted,
         answeredSince: (serverId, since) => (members.get(serverId)?.lastWellAt ?? -Infinity) > since,
         members: () => [...members.keys()],
     };
--- a/packages/core/src/lib/detector.ts
+++ b/packages/core/src/lib/detector.ts
@@ -132,7 +132,7 @@
     // Several hosts together hold more than one bad link: only then does a suspicion count on hosts that see nothing.
     const isFleetIll = (serverId: string, ownSuspicion: boolean): boolean => {
         const opinions = remote.opinions(serverId, clock);
-        const ownWell = !ownSuspicion && pool.answeredSince(serverId, clock - freshAnswerMs);
+        const ownWell = !ownSuspicion && pool.answeredSince(serverId, Math.max(opinions.illSince, clock - freshAnswerMs));
         const ill = opinions.ill + (ownSuspicion ? 1 : 0);
         return ill >= minFleetHosts && ill > opinions.well + (ownWell ? 1 : 0);
     };
@@ -158,7 +158,10 @@
         return [...actions, ...reportOf(serverId, found, reported)];
     };
 
-    const assessAll = (): DetectorAction[] => pool.members().flatMap(assess);
+    const needsAssessment = (serverId: string): boolean =>
+        pool.isDoubted(serverId) || remote.has(serverId) || isSuspected(serverId);
+
+    const assessAll = (): DetectorAction[] => pool.members().filter(needsAssessment).flatMap(assess);
 
     const scan = (): DetectorAction[] => {
         if (clock - scannedAt < scanIntervalMs) {
@@ -234,7 +237,8 @@
         },
         [DetectorEventKind.Finished]: event => {
             const serverId = pool.finished(event.attemptId, event.outcome, clock);
-            return [...scan(), ...(serverId === undefined ? [] : assess(serverId))];
+            const assessed = serverId !== undefined && needsAssessment(serverId) ? assess(serverId) : [];
+            return [...scan(), ...assessed];
         },
         [DetectorEventKind.Joined]: joined,
         [DetectorEventKind.Left]: event => left(event.serverId),
@@ -259,7 +263,8 @@
             .map(([serverId, found]) => ({ serverId, evidence: Math.max(1, found.admission.evidence()), fleet: found.fleet }));
 
     const weight = (serverId: string): number => {
-        const doubted = remote.opinions(serverId, clock).ill > 0 && !pool.answeredSince(serverId, clock - freshAnswerMs);
+        const opinions = remote.opinions(serverId, clock);
+        const doubted = opinions.ill > 0 && !pool.answeredSince(serverId, opinions.illSince);
         const own = known.get(serverId)?.admission.weight(clock) ?? 1;
         return doubted ? Math.min(own, doubtedWeight) : own;
     };
