Prove at most once over drawn faults

Cause: the claim node had table cases only; restarts, freezes and roster changes meet in orders nobody writes down.

Ruled out: counting a 'not run' against a caller that has closed its connection and sent again. It hears nothing, and the sending itself is still checked never to run after that answer.

Change: six mixes of faults with fake time, a fake backend server that counts runs, callers that resend to other hosts, and a naive node that remembers keys alone. A claim whose deadline has passed is refused before it is sent, and a majority that comes later than one more claim timeout no longer grants.

--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -1,2 +1,3 @@
 /** Naive versions of the decisions, for differential tests (development only). */
+export * from "./lib/naive-claims.js";
 export * from "./lib/naive-view.js";
--- a/packages/core/src/lib/claims/claim-refusals.ts
+++ b/packages/core/src/lib/claims/claim-refusals.ts
@@ -44,9 +44,9 @@
 /** The refusal of a claim. */
 export const refusalOf = (kind: RefusedKind, context: RefusalContext): Refusal => refusals[kind](context);
 
-/** The refusal of a claim that was won too late. */
-export const deadlineRefusal: Refusal = {
+/** The refusal of a claim that came too late. `neverRan` tells whether no sending of the key can have run. */
+export const deadlineRefusal = (neverRan: boolean): Refusal => ({
     kind: RefusalKind.DeadlinePassed,
-    outcome: Outcome.NotRun,
-    message: "The deadline passed before the key was recorded, so the request was not run. Allow more time.",
-};
+    outcome: neverRan ? Outcome.NotRun : Outcome.Unknown,
+    message: "The deadline passed before the key was recorded, so the request was not run this time. Allow more time.",
+});
--- a/packages/core/src/lib/claims/coordinator.ts
+++ b/packages/core/src/lib/claims/coordinator.ts
@@ -107,14 +107,19 @@
         if (membership === undefined || membership.roster.hosts.length === 0) {
             return [refuse(wanted, TallyKind.NoMajority)];
         }
+        if (now >= wanted.deadlineAt) {
+            const refusal = deadlineRefusal(wanted.firstSending === true);
+            return [{ kind: ClaimActionKind.Refused, requestId: wanted.requestId, refusal }];
+        }
         return begin(wanted, membership, Math.min(wanted.deadlineAt, now + limits.claimTimeoutMs), now);
     };
 
     const grant = (attempt: Attempt, now: number): ClaimAction[] => {
         const { requestId, deadlineAt } = attempt.wanted;
-        // A process that was frozen wakes late; by its clock the key may be about to be forgotten.
-        if (now >= deadlineAt) {
-            return [{ kind: ClaimActionKind.Refused, requestId, refusal: deadlineRefusal }, ...release(attempt, now)];
+        // A process that was frozen wakes late, when the replicas may be about to forget the key.
+        if (now >= Math.min(deadlineAt, attempt.giveUpAt + limits.claimTimeoutMs)) {
+            // No one else could hold the key beside this majority, so "not run" is sure even for a key that was sent before.
+            return [{ kind: ClaimActionKind.Refused, requestId, refusal: deadlineRefusal(true) }, ...release(attempt, now)];
         }
         pending.delete(attempt.attemptId);
         granted.set(requestId, attempt);
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,8 +1,10 @@
 /** Every proof by name. */
+import { proveAtMostOnce } from "./at-most-once.js";
 import { proveFloor } from "./floor.js";
 import type { Proof } from "./proof.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
+    "at-most-once": proveAtMostOnce,
     "floor": proveFloor,
 };
