Keep a key for a horizon after its last vote, and pages of one session together

Cause, found by reading the code for holes. First, a key that was given back and claimed again near the end of its horizon kept the age of its first sending, so a resend soon after the second run could run again. Second, a catch-up could join pages of two sessions of the same source: records expire between them and places shift, so a record could fall into the gap.

Ruled out: a longer horizon for the first (it moves the edge only), and ordering pages by key for the second (a sort of every key for each restart).

--- a/packages/core/src/lib/claims/catch-up-source.ts
+++ b/packages/core/src/lib/claims/catch-up-source.ts
@@ -1,17 +1,16 @@
 /** Answers the catch-ups of restarted hosts, a page at a time. */
 import type { CatchUp } from "./catch-up.js";
 import { ClaimMessageKind } from "./claim-message.js";
-import type { Addressed, CatchUpRequest, SharedRecord } from "./claim-message.js";
+import type { Addressed, CatchUpPage, CatchUpRequest, SharedRecord } from "./claim-message.js";
 import { answerBytes, shareRecord } from "./claim-store.js";
 import type { ClaimStore } from "./claim-store.js";
 
-/** Records of one page, and the bytes of answers after which it ends. */
-const pageRecords = 2000;
+/** Bytes of answers after which a page ends. */
 const pageAnswerBytes = 1024 * 1024;
 
 /** What one restarted host is being sent. */
 interface Session {
-    incarnation: number;
+    id: string;
     claimIds: string[];
     vouchedFor: string[] | undefined;
 }
@@ -20,6 +19,7 @@
 export interface CatchUpSourceCfg {
     store: ClaimStore;
     catchUp: CatchUp;
+    pageRecords: number;
 }
 
 /** Answers catch-ups. */
@@ -29,8 +29,9 @@
 
 /** Creates the answering side. */
 export const createCatchUpSource = (cfg: CatchUpSourceCfg): CatchUpSource => {
-    const { store, catchUp } = cfg;
+    const { store, catchUp, pageRecords } = cfg;
     const sessions = new Map<string, Session>();
+    let opened = 0;
 
     const openSession = (request: CatchUpRequest, fromHostId: string, now: number): Session | undefined => {
         // What is vouched for is settled together with the list of keys: keys that are merged later are not in the list.
@@ -39,7 +40,9 @@
             return undefined;
         }
         const isShared = (claimId: string): boolean => catchUp.membership()?.replicasOf(claimId).includes(fromHostId) ?? false;
-        const session = { incarnation: request.incarnation, claimIds: store.claimIds().filter(isShared), vouchedFor };
+        opened += 1;
+        const id = `${catchUp.incarnation()}/${opened}`;
+        const session = { id, claimIds: store.claimIds().filter(isShared), vouchedFor };
         sessions.set(fromHostId, session);
         return session;
     };
@@ -59,29 +62,44 @@
         return { records, end };
     };
 
-    const currentSession = (request: CatchUpRequest, fromHostId: string): Session | undefined => {
-        const session = sessions.get(fromHostId);
-        return session?.incarnation === request.incarnation ? session : undefined;
+    const sendPage = (session: Session | undefined, request: CatchUpRequest, hostId: string, now: number): Addressed[] => {
+        if (session === undefined) {
+            return [];
+        }
+        const { cursor, incarnation: forIncarnation } = request;
+        const { records, end } = takeRecords(session, cursor, now);
+        const message: CatchUpPage = {
+            kind: ClaimMessageKind.CatchUpPage,
+            forIncarnation,
+            session: session.id,
+            cursor,
+            next: end < session.claimIds.length ? end : undefined,
+            records,
+            incarnation: catchUp.incarnation(),
+            known: { ...catchUp.known },
+            vouchedFor: session.vouchedFor,
+        };
+        return [{ hostId, message }];
+    };
+
+    const goOn = (sessionId: string, request: CatchUpRequest, hostId: string, now: number): Addressed[] => {
+        const session = sessions.get(hostId);
+        return session?.id === sessionId
+            ? sendPage(session, request, hostId, now)
+            : [{ hostId, message: { kind: ClaimMessageKind.CatchUpRestart, session: sessionId } }];
     };
 
     const answer = (request: CatchUpRequest, fromHostId: string, now: number): Addressed[] => {
-        const { incarnation: forIncarnation, cursor } = request;
+        const { incarnation: forIncarnation } = request;
         const highest = catchUp.known[fromHostId] ?? 0;
         if (highest > forIncarnation) {
             return [{ hostId: fromHostId, message: { kind: ClaimMessageKind.IncarnationUsed, highest } }];
         }
         // From here on every vote of this host says that older votes of the asking host no longer count.
         catchUp.known[fromHostId] = forIncarnation;
-        const session = cursor === 0 ? openSession(request, fromHostId, now) : currentSession(request, fromHostId);
-        const shared = { kind: ClaimMessageKind.CatchUpPage as const, forIncarnation, cursor };
-        const knowledge = { incarnation: catchUp.incarnation(), known: { ...catchUp.known } };
-        if (session === undefined) {
-            const restart = { ...shared, ...knowledge, next: 0, records: [], vouchedFor: [] };
-            return cursor === 0 ? [] : [{ hostId: fromHostId, message: restart }];
-        }
-        const { records, end } = takeRecords(session, cursor, now);
-        const next = end < session.claimIds.length ? end : undefined;
-        return [{ hostId: fromHostId, message: { ...shared, ...knowledge, next, records, vouchedFor: session.vouchedFor } }];
+        return request.session === undefined
+            ? sendPage(openSession(request, fromHostId, now), request, fromHostId, now)
+            : goOn(request.session, request, fromHostId, now);
     };
 
     return { answer };
--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -28,6 +28,8 @@
     /** The third replicas for which this host may answer the catch-up of `hostId`; `undefined` for all. */
     vouchedFor(hostId: string, now: number): string[] | undefined;
     page(page: CatchUpPage, fromHostId: string, now: number): Addressed[];
+    /** The session is lost, for example with a restart of the host that sent it. */
+    restart(session: string, fromHostId: string, now: number): Addressed[];
     /** An earlier process of this host used a number that is not lower. */
     incarnationUsed(highest: number, now: number): Addressed[];
     /** Asks again where pages are missing. */
@@ -36,6 +38,7 @@
 
 /** A host from which records arrive. */
 interface Source {
+    session: string | undefined;
     cursor: number;
     /** Whether it has sent all that it knows and will never forget a part of that. */
     complete: boolean;
@@ -104,8 +107,8 @@
     const ask = (hostId: string, source: Source, now: number): Addressed => {
         source.askedAt = now;
         const rosterVersion = membership?.roster.version ?? 0;
-        const { cursor, vouchedFor: { size: vouched } } = source;
-        return { hostId, message: { kind: ClaimMessageKind.CatchUp, rosterVersion, incarnation, cursor, vouched } };
+        const { session, cursor, vouchedFor: { size: vouched } } = source;
+        return { hostId, message: { kind: ClaimMessageKind.CatchUp, rosterVersion, incarnation, session, cursor, vouched } };
     };
 
     const rememberStart = (first: Membership, now: number): void => {
@@ -113,7 +116,7 @@
         for (const list of first.lists) {
             listsAtStart.add(list.id);
             for (const hostId of list.hostIds.filter(other => other !== cfg.hostId)) {
-                sources.set(hostId, { cursor: 0, complete: false, vouchedFor: new Set(), askedAt: now });
+                sources.set(hostId, { session: undefined, cursor: 0, complete: false, vouchedFor: new Set(), askedAt: now });
             }
         }
     };
@@ -136,11 +139,18 @@
         }
     };
 
+    const isWanted = (source: Source, received: CatchUpPage): boolean =>
+        received.forIncarnation === incarnation && !source.complete && source.cursor === received.cursor
+        && (source.session ?? received.session) === received.session;
+
+    const restartSource = (source: Source): void => {
+        source.session = undefined;
+        source.cursor = 0;
+    };
+
     const page = (received: CatchUpPage, fromHostId: string, now: number): Addressed[] => {
         const source = sources.get(fromHostId);
-        const isWanted = received.forIncarnation === incarnation && source?.complete === false
-            && source.cursor === received.cursor;
-        if (!isWanted) {
+        if (source === undefined || !isWanted(source, received)) {
             return [];
         }
         learn(fromHostId, received);
@@ -148,10 +158,11 @@
             cfg.store.merge(record, now);
         }
         if (received.next !== undefined) {
+            source.session = received.session;
             source.cursor = received.next;
             return [ask(fromHostId, source, now)];
         }
-        source.cursor = 0;
+        restartSource(source);
         source.complete = received.vouchedFor === undefined;
         for (const third of received.vouchedFor ?? []) {
             source.vouchedFor.add(third);
@@ -159,9 +170,18 @@
         return [];
     };
 
+    const restart = (session: string, fromHostId: string, now: number): Addressed[] => {
+        const source = sources.get(fromHostId);
+        if (source?.session !== session) {
+            return [];
+        }
+        restartSource(source);
+        return [ask(fromHostId, source, now)];
+    };
+
     const restartSources = (): void => {
         for (const source of sources.values()) {
-            source.cursor = 0;
+            restartSource(source);
             source.complete = false;
             source.vouchedFor.clear();
         }
@@ -178,7 +198,7 @@
 
     /** A source that could not vouch for everything is asked again: it may have caught up since. */
     const isDue = (source: Source, now: number): boolean => {
-        const pauses = source.vouchedFor.size > 0 && source.cursor === 0 ? idlePauses : 1;
+        const pauses = source.vouchedFor.size > 0 && source.session === undefined ? idlePauses : 1;
         return !source.complete && now - source.askedAt >= cfg.limits.resendMs * pauses;
     };
 
@@ -201,6 +221,7 @@
         mayVote,
         vouchedFor,
         page,
+        restart,
         incarnationUsed,
         tick,
     };
--- a/packages/core/src/lib/claims/claim-contract.ts
+++ b/packages/core/src/lib/claims/claim-contract.ts
@@ -71,12 +71,14 @@
 
 /** Limits of a claim node; each has a default. */
 export interface ClaimLimits {
-    /** How long a key is kept, in milliseconds. Every host of the fleet must use the same value. */
+    /** How long a key is kept after the last vote for it, in milliseconds. Every host of the fleet must use the same value. */
     horizonMs: number;
     /** How long a claim waits for a majority, in milliseconds. */
     claimTimeoutMs: number;
     /** Pause before a message without a reply is sent again, in milliseconds. */
     resendMs: number;
+    /** Records of one page of a catch-up. */
+    pageRecords: number;
     /** Keys that a replica keeps; more are refused, never forgotten. */
     maxKeys: number;
     /** The largest answer that is kept, in bytes. */
@@ -95,6 +97,7 @@
     horizonMs: 24 * hourMs,
     claimTimeoutMs: 400,
     resendMs: 100,
+    pageRecords: 2000,
     maxKeys: 500_000,
     maxAnswerBytes: 64 * 1024,
     maxAnswerBytesInAll: 64 * mebibyte,
--- a/packages/core/src/lib/claims/claim-message.ts
+++ b/packages/core/src/lib/claims/claim-message.ts
@@ -29,7 +29,7 @@
     /** Attempts that certainly did not run. */
     released: string[];
     finished?: FinishedClaim;
-    /** Time since the key was first seen, in milliseconds. */
+    /** Time since the last vote, in milliseconds. */
     ageMs: number;
 }
 
@@ -65,6 +65,8 @@
     Settled = "settled",
     CatchUp = "catch-up",
     CatchUpPage = "catch-up-page",
+    /** The session is not known; the sender of the catch-up must open another. */
+    CatchUpRestart = "catch-up-restart",
     /** The sender of a catch-up uses a number that an earlier process has used. */
     IncarnationUsed = "incarnation-used",
     RosterWanted = "roster-wanted",
@@ -107,6 +109,8 @@
     kind: ClaimMessageKind.CatchUp;
     rosterVersion: number;
     incarnation: number;
+    /** The session that the next page belongs to; `undefined` to open one. */
+    session?: string;
     /** The number of records that have arrived. */
     cursor: number;
     /** How many third replicas this sender has vouched for so far; it answers only when there are more. */
@@ -118,8 +122,10 @@
     kind: ClaimMessageKind.CatchUpPage;
     /** The process that asked. */
     forIncarnation: number;
+    /** Pages of different sessions don't fit together: records expire, and places shift. */
+    session: string;
     cursor: number;
-    /** The cursor of the next page; 0 to start again, `undefined` on the last one. */
+    /** The cursor of the next page; `undefined` on the last one. */
     next?: number;
     records: SharedRecord[];
     incarnation: number;
@@ -136,6 +142,7 @@
     | { kind: ClaimMessageKind.Settled; attemptId: string; }
     | CatchUpRequest
     | CatchUpPage
+    | { kind: ClaimMessageKind.CatchUpRestart; session: string; }
     | { kind: ClaimMessageKind.IncarnationUsed; highest: number; }
     | { kind: ClaimMessageKind.RosterWanted; }
     | { kind: ClaimMessageKind.RosterNews; roster: ClaimRoster; };
--- a/packages/core/src/lib/claims/claim-node.ts
+++ b/packages/core/src/lib/claims/claim-node.ts
@@ -31,7 +31,7 @@
     const limits = { ...defaultClaimLimits, ...cfg.limits };
     const store = createClaimStore(limits);
     const catchUp = createCatchUp({ hostId, incarnation, limits, store });
-    const source = createCatchUpSource({ store, catchUp });
+    const source = createCatchUpSource({ store, catchUp, pageRecords: limits.pageRecords });
     const replica = createReplica({ hostId, store, catchUp });
     const coordinator = createCoordinator({ hostId, incarnation, random, limits });
 
@@ -79,6 +79,7 @@
         [ClaimMessageKind.CatchUp]: (message, from, now) =>
             toActions(alignRosters(message.rosterVersion, from) ?? source.answer(message, from, now)),
         [ClaimMessageKind.CatchUpPage]: (message, from, now) => toActions(catchUp.page(message, from, now)),
+        [ClaimMessageKind.CatchUpRestart]: (message, from, now) => toActions(catchUp.restart(message.session, from, now)),
         [ClaimMessageKind.IncarnationUsed]: (message, _from, now) => toActions(catchUp.incarnationUsed(message.highest, now)),
         [ClaimMessageKind.RosterWanted]: (_message, from) => sendRoster(from),
         // The first roster of a process must be a linearizable read, which a peer can't give.
--- a/packages/core/src/lib/claims/claim-store.ts
+++ b/packages/core/src/lib/claims/claim-store.ts
@@ -12,14 +12,15 @@
     holders: ClaimHolder[];
     released: string[];
     finished: FinishedClaim | undefined;
+    /** When the last vote was given; the key is kept for the horizon from then on. */
     since: number;
 }
 
 /** The records of one replica. */
 export interface ClaimStore {
     get(claimId: string, now: number): ClaimRecord | undefined;
-    /** The record of a key, made when there is none; `undefined` when the store is full. */
-    open(claimId: string, now: number): ClaimRecord | undefined;
+    /** Gives the vote of the replica; `undefined` when the store is full. */
+    vote(claimId: string, holder: ClaimHolder, now: number): ClaimRecord | undefined;
     release(claimId: string, attemptId: string, now: number): void;
     finish(claimId: string, finished: FinishedClaim, now: number): void;
     /** Adds what another replica knows. It ignores the limit of keys, because forgetting a hold is never safe. */
@@ -101,6 +102,22 @@
         return records.size < limits.maxKeys ? add(claimId, now) : undefined;
     };
 
+    const refresh = (record: ClaimRecord, since: number): void => {
+        record.since = since;
+        records.delete(record.claimId);
+        records.set(record.claimId, record);
+    };
+
+    const vote = (claimId: string, holder: ClaimHolder, now: number): ClaimRecord | undefined => {
+        const record = open(claimId, now);
+        if (record !== undefined && !record.holders.some(known => known.attemptId === holder.attemptId)) {
+            // A key that was given back may run only now, and is kept for a whole horizon from here.
+            refresh(record, now);
+            record.holders.push(holder);
+        }
+        return record;
+    };
+
     const markReleased = (record: ClaimRecord, attemptIds: string[]): void => {
         record.released = [...new Set([...record.released, ...attemptIds])].slice(-maxReleased);
         record.holders = record.holders.filter(holder => !attemptIds.includes(holder.attemptId));
@@ -143,6 +160,7 @@
             return;
         }
         const record = get(shared.claimId, now) ?? add(shared.claimId, now - shared.ageMs);
+        record.since = Math.max(record.since, now - shared.ageMs);
         const known = new Set(record.holders.map(holder => holder.attemptId));
         record.holders.push(...shared.holders.filter(holder => !known.has(holder.attemptId)));
         markReleased(record, [...record.released, ...shared.released]);
@@ -153,7 +171,7 @@
 
     return {
         get,
-        open,
+        vote,
         release,
         finish,
         merge,
--- a/packages/core/src/lib/claims/replica.ts
+++ b/packages/core/src/lib/claims/replica.ts
@@ -38,12 +38,8 @@
         if (!catchUp.mayVote(claimId, now)) {
             return { kind: VerdictKind.Abstained };
         }
-        const opened = store.open(claimId, now);
-        if (opened === undefined) {
-            return { kind: VerdictKind.Full };
-        }
-        opened.holders = [holder];
-        return { kind: VerdictKind.Voted };
+        const voted = store.vote(claimId, holder, now);
+        return { kind: voted === undefined ? VerdictKind.Full : VerdictKind.Voted };
     };
 
     const knownAmong = (hostIds: string[]): Incarnations =>
--- a/packages/proofs/src/lib/at-most-once-callers.ts
+++ b/packages/proofs/src/lib/at-most-once-callers.ts
@@ -32,6 +32,7 @@
 interface Caller {
     key: string;
     style: Style;
+    /** When the sending that may run was sent, or the earliest that may. */
     firstAt: number;
     sendings: number;
     /** Whether it heard a whole answer. */
@@ -152,6 +153,8 @@
                 fleet.hand(hostId, () => {
                     // The caller is told when the host learns it, before the key is given back.
                     ledger.notRun(sending, entry.listening);
+                    // What runs later is kept for a whole horizon of its own.
+                    entry.caller.firstAt = timeline.now();
                     return { kind: ClaimEventKind.NotRun, requestId };
                 });
             });
