--- a/packages/ctl/src/lib/pool-commands.ts
+++ b/packages/ctl/src/lib/pool-commands.ts
@@ -109,12 +109,22 @@
         return succeed(`${text}${silentNote(answers)}`, { pools: views, silent: answers.filter(answer => !answer.ok) }, code);
     });
 
-/** `addresses`: what a caller of one brand and kind would be told. */
+/** `addresses`: what a caller of one brand and kind is told, by the first host that answers. */
 export const showAddresses = (options: GlobalOptions, brand: string, kind: string): Promise<CommandResult> =>
     withEntryHosts(options, async client => {
-        const query = new URLSearchParams({ brand, kind }).toString();
-        const answer = await client.getFirst(`/addresses?${query}`);
-        return answer.ok
-            ? succeed(`${JSON.stringify(answer.body, undefined, 2)}\nAs told by ${answer.hostId}.`, answer.body)
-            : failWith({ kind: "unreachable", message: `No entry host told the addresses.\n${answer.message}` });
+        const answers = await client.askFleet();
+        const failures: string[] = [];
+        for (const answer of answers) {
+            if (answer.ok) {
+                const told = await client.askAddresses(answer.status.callerAddress, brand, kind);
+                if (told.ok) {
+                    return succeed(`${JSON.stringify(told.body, undefined, 2)}\nAs told by ${answer.hostId}.`, told.body);
+                }
+                failures.push(`\n  ${answer.hostId}: ${told.message}`);
+            }
+        }
+        return failures.length === 0 ? unreachable(answers) : failWith({
+            kind: "unreachable",
+            message: `No entry host told the addresses.${failures.join("")}`,
+        });
     });
--- a/packages/ctl/src/test/fakes.ts
+++ b/packages/ctl/src/test/fakes.ts
@@ -79,8 +79,14 @@
 /** Starts a fake entry host that answers its status. */
 export const startFakeEntry = async (status: () => Partial<EntryStatus>): Promise<Fake> => {
     const server = createServer((req, res) => {
-        res.statusCode = req.headers.authorization === `Bearer ${token}` ? 200 : 401;
-        res.end(JSON.stringify(req.url?.startsWith("/addresses") ? { addresses: ["127.0.0.1:80"] } : fakeStatus(status())));
+        const { authorization } = req.headers;
+        if (req.url === "/.well-known/cassiapick/addresses?brand=oka&kind=seat-maps") {
+            res.statusCode = authorization === undefined ? 200 : 400;
+            res.end(JSON.stringify({ addresses: ["127.0.0.1:80"] }));
+            return;
+        }
+        res.statusCode = authorization === `Bearer ${token}` ? 200 : 401;
+        res.end(JSON.stringify(fakeStatus({ callerAddress: `127.0.0.1:${req.socket.localPort ?? 0}`, ...status() })));
     });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     const close = (): Promise<void> =>
--- a/packages/platform/src/lib/entry-client.ts
+++ b/packages/platform/src/lib/entry-client.ts
@@ -21,12 +21,18 @@
     | { ok: true; hostId: string; address: string; status: EntryStatus; }
     | { ok: false; hostId: string; address: string; message: string; };
 
+/** The JSON of one answer, or why there is none. */
+export type JsonAnswer = { ok: true; body: unknown; } | { ok: false; message: string; };
+
+/** The path at which callers ask for addresses. */
+const addressesPath = "/.well-known/cassiapick/addresses";
+
 /** Speaks with entry hosts. */
 export interface EntryClient {
     /** Asks the known hosts, and then every host that an answer names as a peer. */
     askFleet(): Promise<EntryAnswer[]>;
-    /** Sends one GET to the first host that answers it with 200 and yields its JSON. */
-    getFirst(path: string): Promise<{ ok: true; hostId: string; body: unknown; } | { ok: false; message: string; }>;
+    /** Asks one host at its caller address, as a caller does, which addresses to use. */
+    askAddresses(callerAddress: string, brand: string, kind: string): Promise<JsonAnswer>;
 }
 
 const describe = (statusCode: number): string =>
@@ -50,13 +56,10 @@
 
 /** Creates a client for the admin addresses of entry hosts. */
 export const createEntryClient = (options: EntryClientOptions): EntryClient => {
-    const get = async (
-        address: string,
-        path: string,
-    ): Promise<{ ok: true; body: unknown; } | { ok: false; message: string; }> => {
+    const get = async (address: string, path: string, headers: Record<string, string>): Promise<JsonAnswer> => {
         try {
             const res = await request(`http://${address}${path}`, {
-                headers: { authorization: `Bearer ${options.token}` },
+                headers,
                 signal: AbortSignal.timeout(options.timeoutMs),
             });
             const text = await readBody(res.body);
@@ -70,7 +73,7 @@
     };
 
     const askOne = async (hostId: string, address: string): Promise<EntryAnswer> => {
-        const answer = await get(address, "/status");
+        const answer = await get(address, "/status", { authorization: `Bearer ${options.token}` });
         if (!answer.ok) {
             return { ok: false, hostId, address, message: answer.message };
         }
@@ -97,17 +100,11 @@
         return answers.sort((a, b) => a.hostId < b.hostId ? -1 : 1);
     };
 
-    const getFirst: EntryClient["getFirst"] = async path => {
-        const failures: string[] = [];
-        for (const { hostId, address } of options.hosts) {
-            const answer = await get(address, path);
-            if (answer.ok) {
-                return { ok: true, hostId, body: answer.body };
-            }
-            failures.push(`${hostId}: ${answer.message}`);
-        }
-        return { ok: false, message: failures.join("\n") };
+    const askAddresses: EntryClient["askAddresses"] = (callerAddress, brand, kind) => {
+        const query = new URLSearchParams({ brand, kind }).toString();
+        // The caller port is no place for the operators' token.
+        return get(callerAddress, `${addressesPath}?${query}`, {});
     };
 
-    return { askFleet, getFirst };
+    return { askFleet, askAddresses };
 };
--- a/packages/platform/src/lib/event-log.ts
+++ b/packages/platform/src/lib/event-log.ts
@@ -18,6 +18,8 @@
     format: LogFormat;
     /** Writes one line; standard error by default. */
     write?: (line: string) => void;
+    /** The wall clock, in milliseconds since 1970; the system's by default. */
+    now?: () => number;
 }
 
 /** Writes events of one process. */
@@ -25,6 +27,22 @@
     log(name: EventName, fields?: EventFields): void;
 }
 
+/** Creates a log that adds `bound` to each event, as in `withFields(log, { requestId })`. */
+export const withFields = (log: EventLog, bound: EventFields): EventLog => ({
+    log: (name, fields = {}) => log.log(name, { ...bound, ...fields }),
+});
+
+/** Longer texts are cut, so that a hostile caller can't fill the log with one line. */
+const maxFieldChars = 1000;
+
+const clipFields = (fields: EventFields): EventFields =>
+    Object.fromEntries(
+        Object.entries(fields).map(([key, value]) => [
+            key,
+            typeof value === "string" && value.length > maxFieldChars ? `${value.slice(0, maxFieldChars)}...` : value,
+        ]),
+    );
+
 const renderText = (fields: EventFields): string =>
     Object.entries(fields)
         .filter(([, value]) => value !== undefined)
@@ -39,18 +57,21 @@
  */
 export const createEventLog = (options: EventLogOptions): EventLog => {
     const logger = debug(`cassiapick:${options.program}`);
+    const now = options.now ?? Date.now;
     const write = options.write ?? ((line: string) => process.stderr.write(`${line}\n`));
 
-    const log = (name: EventName, fields: EventFields = {}): void => {
+    const log = (name: EventName, given: EventFields = {}): void => {
         const definition = events[name];
         if (definition.level === EventLevel.Info && !logger.enabled) {
             return;
         }
+        const fields = clipFields(given);
         const { code, level, meaning } = definition;
+        const time = new Date(now()).toISOString();
         if (options.format === LogFormat.Json) {
             write(
                 JSON.stringify({
-                    time: new Date().toISOString(),
+                    time,
                     code,
                     level,
                     event: name,
@@ -63,7 +84,7 @@
             return;
         }
         write(
-            `${new Date().toISOString()} ${code} ${level} ${options.program} ${options.hostId} ${name} ${renderText(fields)}`
+            `${time} ${code} ${level} ${options.program} ${options.hostId} ${name} ${renderText(fields)}`
                 .trimEnd(),
         );
     };
--- /dev/null
+++ b/packages/platform/src/lib/settings-page.ts
@@ -0,0 +1,57 @@
+/** Renders settings for people: the reference page, and the values of one process with their sources. */
+import { flagOf, SettingSource, variableOf } from "./setting-definition.js";
+import type { FoundSetting, SettingDefinition, SettingDefinitions } from "./setting-definition.js";
+
+const escapeCell = (text: string): string => text.replaceAll("|", "\\|").replaceAll("\n", " ");
+
+const renderValue = (value: unknown): string => {
+    const text = typeof value === "string" ? value : JSON.stringify(value);
+    return text === "" || text === "[]" ? "none" : text;
+};
+
+/** What a setting accepts, as its check says when nothing is given. */
+const describeAccepted = (definition: SettingDefinition): string => {
+    const parsed = definition.schema.safeParse(undefined);
+    const message = parsed.success ? "a text" : parsed.error.issues.map(issue => issue.message).join("; ");
+    return message.replace(/^(Invalid option: )?expected (one of )?/, "");
+};
+
+const renderRow = (name: string, definition: SettingDefinition): string => {
+    const standard = definition.default === undefined ? "required" : renderValue(definition.default);
+    const cells = [
+        `\`${flagOf(name)}\``,
+        `\`${variableOf(name)}\``,
+        escapeCell(describeAccepted(definition)),
+        escapeCell(standard),
+        escapeCell(definition.description),
+    ];
+    return `| ${cells.join(" | ")} |`;
+};
+
+/** Renders the section of one program for docs/SETTINGS.md, in Markdown. */
+export const renderSettingsSection = (program: string, definitions: SettingDefinitions): string =>
+    [
+        `## ${program}`,
+        "",
+        "| Flag | Variable | Accepts | Default | Sets |",
+        "| --- | --- | --- | --- | --- |",
+        ...Object.entries(definitions).map(([name, definition]) => renderRow(name, definition)),
+    ].join("\n");
+
+const sourceNames: Record<SettingSource, (name: string) => string> = {
+    [SettingSource.Flag]: flagOf,
+    [SettingSource.Variable]: variableOf,
+    [SettingSource.Default]: () => "default",
+    [SettingSource.Missing]: () => "missing",
+};
+
+/** Renders each setting of a process, its value and where the value came from, one a line. */
+export const renderSources = (definitions: SettingDefinitions, found: FoundSetting[]): string => {
+    const width = Math.max(0, ...found.map(({ name }) => flagOf(name).length));
+    return found
+        .map(({ name, source, text }) => {
+            const value = source === SettingSource.Default ? renderValue(definitions[name]!.default) : text ?? "";
+            return `${flagOf(name).padEnd(width)}  ${value}  (${sourceNames[source](name)})`;
+        })
+        .join("\n");
+};
--- a/packages/platform/src/lib/settings.ts
+++ b/packages/platform/src/lib/settings.ts
@@ -1,21 +1,15 @@
-/** Settings: one declaration yields flags, environment variables, checks and help. */
+/** Settings: one declaration yields flags, environment variables, checks, help and the reference page. */
 import yargs from "yargs";
-import { z } from "zod";
-
-/** One setting of a program. */
-export interface SettingDefinition<T = unknown> {
-    /** What it does, with its unit. */
-    description: string;
-    /** Checks the text of a flag or variable and turns it into a value. */
-    schema: z.ZodType<T>;
-    /** The value when neither a flag nor a variable is given; without one the setting is required. */
-    default?: T;
-}
+import type { Argv } from "yargs";
+import type { z } from "zod";
+import { suggestName } from "./nearest-name.js";
+import { flagOf, SettingSource, toKebab, variableOf } from "./setting-definition.js";
+import type { FoundSetting, SettingDefinition, SettingDefinitions } from "./setting-definition.js";
+import { renderSettingsSection, renderSources } from "./settings-page.js";
 
-export type SettingDefinitions = Record<string, SettingDefinition>;
 export type SettingValues<D extends SettingDefinitions> = { [K in keyof D]: z.infer<D[K]["schema"]>; };
 
-/** A setting that is missing or does not pass its check. */
+/** A setting that is missing or does not pass its check, or a flag that is not known. */
 export interface SettingErr {
     kind: "setting-invalid";
     setting: string;
@@ -34,83 +28,155 @@
     /** Arguments without the program's name. */
     args: string[];
     env: NodeJS.ProcessEnv;
+    /** Writes the answer to --help, --print-settings and --describe-settings; standard output by default. */
+    print?: (text: string) => void;
+    /** Ends the program after such an answer; the process by default. */
+    exit?: (code: number) => never;
 }
 
-const toKebab = (name: string): string => name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+/** The exit code of a program whose settings are not valid. */
+export const settingsExitCode = 2;
+
+const createErr = (setting: string, message: string): SettingErr => ({ kind: "setting-invalid", setting, message });
+
+const explain = (found: FoundSetting, definition: SettingDefinition, reason: string): SettingErr => {
+    const given = found.text === undefined ? "missing" : `'${found.text}'`;
+    const place = `${flagOf(found.name)} (or ${variableOf(found.name)})`;
+    return createErr(found.name, `${place} is ${given}: ${reason}. It sets: ${definition.description}`);
+};
+
+const answerFlags = {
+    "help": "Show this help and end",
+    "print-settings": "Show each value and where it came from, and end",
+    "describe-settings": "Show the reference page of the settings as Markdown, and end",
+};
+type AnswerFlag = keyof typeof answerFlags;
+
+const createParser = (program: string, definitions: SettingDefinitions, args: string[]): Argv => {
+    let parser: Argv = yargs(args)
+        .scriptName(program)
+        .usage("$0 [flags]")
+        .locale("en")
+        .parserConfiguration({ "camel-case-expansion": false, "boolean-negation": false, "duplicate-arguments-array": true })
+        .help(false)
+        .version(false)
+        .exitProcess(false);
+    for (const [name, definition] of Object.entries(definitions)) {
+        const describe = `${definition.description} [${variableOf(name)}]`;
+        parser = parser.option(toKebab(name), { type: "string", requiresArg: true, describe });
+    }
+    for (const [flag, describe] of Object.entries(answerFlags)) {
+        parser = parser.option(flag, { type: "boolean", describe });
+    }
+    return parser;
+};
+
+interface ParsedFlags {
+    values: Record<string, unknown>;
+    errs: SettingErr[];
+}
+
+const unknownErr = (name: string, known: string[]): SettingErr =>
+    createErr(name, `The flag '--${name}' is not known.${suggestName(name, known)} See --help.`);
+
+const parseFlags = (parser: Argv, args: string[], definitions: SettingDefinitions): ParsedFlags => {
+    const known = [...Object.keys(definitions).map(toKebab), ...Object.keys(answerFlags)];
+    let failure: string | undefined;
+    const parsed = parser.fail(message => {
+        failure ??= message;
+    }).parseSync(args) as Record<string, unknown>;
+    const words = parsed._ as Array<string | number>;
+    const values = Object.fromEntries(Object.entries(parsed).filter(([name]) => name !== "_" && name !== "$0"));
+    const errs = [
+        ...Object.keys(values).filter(name => !known.includes(name)).map(name => unknownErr(name, known)),
+        ...words.map(word =>
+            createErr(String(word), `'${word}' belongs to no flag. Write settings as --flag value. See --help.`)
+        ),
+        ...Object.entries(values).filter(([, value]) => Array.isArray(value)).map(([name]) =>
+            createErr(name, `--${name} is given more than once. Give it once.`)
+        ),
+    ];
+    if (failure !== undefined && errs.length === 0) {
+        errs.push(createErr("flags", `${failure}. Write settings as --flag value. See --help.`));
+    }
+    return { values, errs };
+};
 
-/** The environment variable of a setting, as in `CASSIAPICK_LISTEN_PORT`. */
-export const variableOf = (name: string): string => `CASSIAPICK_${toKebab(name).replaceAll("-", "_").toUpperCase()}`;
+const findSetting = (
+    name: string,
+    flags: Record<string, unknown>,
+    options: ReadSettingsOptions<SettingDefinitions>,
+): FoundSetting => {
+    const flag = flags[toKebab(name)];
+    if (typeof flag === "string") {
+        return { name, source: SettingSource.Flag, text: flag };
+    }
+    const variable = options.env[variableOf(name)];
+    if (variable !== undefined) {
+        return { name, source: SettingSource.Variable, text: variable };
+    }
+    const hasDefault = options.definitions[name]!.default !== undefined;
+    return { name, source: hasDefault ? SettingSource.Default : SettingSource.Missing, text: undefined };
+};
 
-/** The flag of a setting, as in `--listen-port`. */
-export const flagOf = (name: string): string => `--${toKebab(name)}`;
+const printText = (text: string): void => {
+    process.stdout.write(`${text}\n`);
+};
 
-const explain = (name: string, definition: SettingDefinition, found: string | undefined, reason: string): SettingErr => ({
-    kind: "setting-invalid",
-    setting: name,
-    message: `${flagOf(name)} (or ${variableOf(name)}) is ${
-        found === undefined ? "missing" : `'${found}'`
-    }: ${reason}. It sets: ${definition.description}`,
+const createAnswers = (
+    options: ReadSettingsOptions<SettingDefinitions>,
+    parser: Argv,
+    found: FoundSetting[],
+): Record<AnswerFlag, (print: (text: string) => void) => void> => ({
+    "help": print => {
+        parser.showHelp(print);
+    },
+    "print-settings": print => {
+        print(renderSources(options.definitions, found));
+    },
+    "describe-settings": print => {
+        print(renderSettingsSection(options.program, options.definitions));
+    },
 });
 
-/** Reads and checks the settings of a program. Flags go before variables, and variables before defaults. */
+/**
+ * Reads and checks the settings of a program. Flags go before variables, and variables before defaults.
+ *
+ * Answers --help, --print-settings and --describe-settings itself and ends the program with code 0 afterwards. A program
+ * whose result is not `ok` writes the messages and ends with {@link settingsExitCode}.
+ */
 export const readSettings = <D extends SettingDefinitions>(options: ReadSettingsOptions<D>): SettingsResult<D> => {
-    const names = Object.keys(options.definitions);
-    let parser = yargs(options.args).scriptName(options.program).strict().exitProcess(true);
-    for (const name of names) {
-        parser = parser.option(toKebab(name), { type: "string", describe: options.definitions[name]!.description });
-    }
-    const flags = parser.parseSync() as Record<string, string | undefined>;
-    const errs: SettingErr[] = [];
+    const parser = createParser(options.program, options.definitions, options.args);
+    const flags = parseFlags(parser, options.args, options.definitions);
+    const errs = [...flags.errs];
     const values: Record<string, unknown> = {};
-    for (const name of names) {
-        const definition = options.definitions[name]!;
-        const found = flags[toKebab(name)] ?? options.env[variableOf(name)];
-        if (found === undefined && definition.default !== undefined) {
-            values[name] = definition.default;
+    const found = Object.keys(options.definitions).map(name => findSetting(name, flags.values, options));
+    for (const setting of found) {
+        const definition = options.definitions[setting.name]!;
+        if (setting.source === SettingSource.Default) {
+            values[setting.name] = definition.default;
             continue;
         }
-        const parsed = definition.schema.safeParse(found);
+        // A flag that was mistyped makes its setting look missing; naming both would mislead.
+        if (setting.source === SettingSource.Missing && flags.errs.length > 0) {
+            continue;
+        }
+        const parsed = definition.schema.safeParse(setting.text);
         if (parsed.success) {
-            values[name] = parsed.data;
+            values[setting.name] = parsed.data;
         }
         else {
-            errs.push(explain(name, definition, found, parsed.error.issues.map(issue => issue.message).join("; ")));
+            errs.push(explain(setting, definition, parsed.error.issues.map(issue => issue.message).join("; ")));
+        }
+    }
+    const answers = createAnswers(options, parser, found);
+    const asked = (Object.keys(answers) as AnswerFlag[]).find(flag => flags.values[flag] === true);
+    // A wrong setting must not hide the help, but it does make --print-settings fail after it was printed.
+    if (asked !== undefined) {
+        answers[asked](options.print ?? printText);
+        if (errs.length === 0 || asked !== "print-settings") {
+            (options.exit ?? process.exit)(0);
         }
     }
     return errs.length > 0 ? { ok: false, errs } : { ok: true, values: values as SettingValues<D> };
 };
-
-/** An integer within a range, both ends included. */
-export const integerSetting = (min: number, max: number): z.ZodType<number> =>
-    z.coerce.number({ error: `expected an integer from ${min} to ${max}` })
-        .int({ error: `expected an integer from ${min} to ${max}` })
-        .min(min, { error: `expected an integer from ${min} to ${max}` })
-        .max(max, { error: `expected an integer from ${min} to ${max}` });
-
-/** A text that is not empty. */
-export const textSetting = (): z.ZodType<string> =>
-    z.string({ error: "expected a text" }).min(1, { error: "expected a text that is not empty" });
-
-/** A list of `name=host:port` separated by commas. */
-export interface PeerAddress {
-    hostId: string;
-    host: string;
-    port: number;
-}
-
-const peerPattern = /^([\w.-]+)=([\w.:-]+):(\d{1,5})$/;
-
-/** Peers of the fleet, as in `state-1=127.0.0.1:7001,state-2=127.0.0.2:7001`. */
-export const peersSetting = (): z.ZodType<PeerAddress[]> =>
-    z.string({ error: "expected 'name=host:port' pairs separated by commas" }).transform((text, ctx) => {
-        const peers: PeerAddress[] = [];
-        for (const part of text.split(",").filter(piece => piece.length > 0)) {
-            const match = peerPattern.exec(part);
-            if (match === null) {
-                ctx.addIssue({ code: "custom", message: `'${part}' is not 'name=host:port'` });
-                return z.NEVER;
-            }
-            peers.push({ hostId: match[1]!, host: match[2]!, port: Number(match[3]) });
-        }
-        return peers;
-    });
--- /dev/null
+++ b/packages/platform/src/test/reference-pages_test.ts
@@ -0,0 +1,12 @@
+/** docs/EVENTS.md and docs/SETTINGS.md say what the code says. */
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { renderReferencePages } from "../lib/reference-pages.js";
+
+describe("the reference pages", () => {
+    for (const path of ["docs/EVENTS.md", "docs/SETTINGS.md"]) {
+        it(`${path} is what 'npm run docs' writes`, () => {
+            expect(readFileSync(path, "utf8")).to.equal(renderReferencePages(".")[path]);
+        });
+    }
+});
