--- a/packages/ctl/src/lib/fleet-commands.ts
+++ b/packages/ctl/src/lib/fleet-commands.ts
@@ -2,12 +2,12 @@
 import { compareVersions, formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { StateStatus, Version } from "@cassiapick/core";
 import type { EntryAnswer, EntryClient } from "@cassiapick/platform";
+import { renderTable } from "@cassiapick/platform";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
 import { withEntryHosts, withStateHosts } from "./context.js";
 import type { GlobalOptions } from "./context.js";
 import { ExitCode } from "./exit-code.js";
-import { renderTable } from "./text-table.js";
 
 const waitPollMs = 200;
 
--- a/packages/ctl/src/lib/pool-commands.ts
+++ b/packages/ctl/src/lib/pool-commands.ts
@@ -2,12 +2,12 @@
 import type { MemberStatus, PoolStatus } from "@cassiapick/core";
 import { MemberState } from "@cassiapick/core";
 import type { EntryAnswer } from "@cassiapick/platform";
+import { renderTable } from "@cassiapick/platform";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
 import { withEntryHosts } from "./context.js";
 import type { GlobalOptions } from "./context.js";
 import { ExitCode } from "./exit-code.js";
-import { renderTable } from "./text-table.js";
 
 /** One pool as one host sees it. */
 interface PoolView {
--- a/packages/ctl/src/lib/tables-commands.ts
+++ b/packages/ctl/src/lib/tables-commands.ts
@@ -2,6 +2,7 @@
 import { formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { Tables, VersionedTables } from "@cassiapick/core";
 import { formatTables, parseTables } from "@cassiapick/platform";
+import { renderTable } from "@cassiapick/platform";
 import { readFileSync } from "node:fs";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
@@ -10,7 +11,6 @@
 import { changeResultOf } from "./reply-result.js";
 import type { StateClient } from "./state-client.js";
 import { diffTables, renderDiff } from "./tables-diff.js";
-import { renderTable } from "./text-table.js";
 
 /** The two files of a command. */
 export interface TablesPaths {
--- a/packages/platform/src/lib/entry-status-check.ts
+++ b/packages/platform/src/lib/entry-status-check.ts
@@ -36,7 +36,8 @@
     faults: z.array(z.object({ serverId: z.string().optional(), fault: z.string(), count })),
 });
 
-const burn = z.object({
+/** The shape of burn counters. */
+export const burnSchema = z.object({
     bucketMs: z.int().min(1),
     keptSince: z.number(),
     series: z.array(z.object({
@@ -59,7 +60,7 @@
     now: z.number(),
     pools: z.array(pool),
     peers: z.array(peer),
-    burn,
+    burn: burnSchema,
 });
 
 /** Whether a value is a whole status. */
--- a/packages/platform/src/lib/setting-definition.ts
+++ b/packages/platform/src/lib/setting-definition.ts
@@ -9,6 +9,8 @@
     schema: z.ZodType<T>;
     /** The value when neither a flag nor a variable is given; without one the setting is required. */
     default?: T;
+    /** Whether the flag may stand alone, which means "true". */
+    isSwitch?: boolean;
 }
 
 export type SettingDefinitions = Record<string, SettingDefinition>;
--- a/packages/platform/src/lib/setting-schemas.ts
+++ b/packages/platform/src/lib/setting-schemas.ts
@@ -17,6 +17,10 @@
 export const textSetting = (): z.ZodType<string> =>
     z.string({ error: "expected a text" }).min(1, { error: "expected a text that is not empty" });
 
+/** Whether something is on. With `isSwitch` the flag may stand alone. */
+export const switchSetting = (): z.ZodType<boolean> =>
+    z.enum(["true", "false"], { error: "expected 'true' or 'false'" }).transform(text => text === "true");
+
 /** A list of `name=host:port` separated by commas. */
 export interface PeerAddress {
     hostId: string;
--- a/packages/platform/src/lib/settings.ts
+++ b/packages/platform/src/lib/settings.ts
@@ -63,7 +63,11 @@
         .exitProcess(false);
     for (const [name, definition] of Object.entries(definitions)) {
         const describe = `${definition.description} [${variableOf(name)}]`;
-        parser = parser.option(toKebab(name), { type: "string", requiresArg: true, describe });
+        parser = parser.option(toKebab(name), {
+            type: "string",
+            requiresArg: definition.isSwitch !== true,
+            describe,
+        });
     }
     for (const [flag, describe] of Object.entries(answerFlags)) {
         parser = parser.option(flag, { type: "boolean", describe });
@@ -109,7 +113,8 @@
 ): FoundSetting => {
     const flag = flags[toKebab(name)];
     if (typeof flag === "string") {
-        return { name, source: SettingSource.Flag, text: flag };
+        const standsAlone = flag === "" && options.definitions[name]!.isSwitch === true;
+        return { name, source: SettingSource.Flag, text: standsAlone ? "true" : flag };
     }
     const variable = options.env[variableOf(name)];
     if (variable !== undefined) {
--- a/packages/platform/src/test/settings_test.ts
+++ b/packages/platform/src/test/settings_test.ts
@@ -1,12 +1,13 @@
 /** Settings: sources, checks and the answers to flags such as --help. */
 import { expect } from "chai";
-import { integerSetting, peersSetting, textSetting } from "../lib/setting-schemas.js";
+import { integerSetting, peersSetting, switchSetting, textSetting } from "../lib/setting-schemas.js";
 import { readSettings } from "../lib/settings.js";
 
 const definitions = {
     hostId: { description: "the name of this host", schema: textSetting() },
     listenPort: { description: "the port", schema: integerSetting(0, 65_535), default: 0 },
     peers: { description: "the peers", schema: peersSetting(), default: [] },
+    json: { description: "print JSON", schema: switchSetting(), default: false, isSwitch: true },
 };
 
 interface Read {
@@ -45,7 +46,10 @@
 
 describe("readSettings", () => {
     const cases: Array<{ line: string; env?: NodeJS.ProcessEnv; says: string; }> = [
-        { line: "--host-id a", says: '{"hostId":"a","listenPort":0,"peers":[]}' },
+        { line: "--host-id a", says: '{"hostId":"a","listenPort":0,"peers":[],"json":false}' },
+        { line: "--json --host-id a", says: '"json":true' },
+        { line: "--host-id a --json=false", says: '"json":false' },
+        { line: "--host-id a --json maybe", says: "is 'maybe': expected 'true' or 'false'" },
         { line: "", env: { CASSIAPICK_HOST_ID: "v" }, says: '"hostId":"v"' },
         { line: "--host-id f", env: { CASSIAPICK_HOST_ID: "v" }, says: '"hostId":"f"' },
         { line: "--host-id 12 --listen-port 5", says: '{"hostId":"12","listenPort":5' },
