Prove goodput, fairness and early refusals under overload

Cause: nothing showed what the scheduler does at several times capacity. Change: the proof overload, with a naive scheduler and retry policy, and Submit.arrivedAt, so that the waits of one request count together.

--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -1,2 +1,4 @@
 /** Naive versions of the decisions, for differential tests (development only). */
+export * from "./lib/naive-retry.js";
+export * from "./lib/naive-scheduler.js";
 export * from "./lib/naive-view.js";
--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -21,7 +21,7 @@
 const defaultMaxWaitMs = 500;
 const defaultSlowStartStepMs = 1000;
 
-/** The share of the time to its deadline that an attempt may wait; the rest is for serving it, or for asking elsewhere. */
+/** The share of its time after which a request no longer waits for a slot; the rest is for serving it, or for asking elsewhere. */
 const waitShare = 0.5;
 
 const minRetryAfterMs = 50;
@@ -99,9 +99,11 @@
     };
 
     const waitingOf = (event: EventOf<SchedulerEventKind.Submit>, now: number): Waiting => {
-        const maxWaitMs = Math.min(cfg.maxWaitMs ?? defaultMaxWaitMs, (event.deadlineAt - now) * waitShare);
-        const { attemptId, brand, exclude, allowExcluded } = event;
-        return { attemptId, brand, refuseAt: now + maxWaitMs, exclude, allowExcluded: allowExcluded ?? false };
+        const { attemptId, brand, exclude, allowExcluded, deadlineAt } = event;
+        const arrivedAt = event.arrivedAt ?? now;
+        const latestAt = arrivedAt + (deadlineAt - arrivedAt) * waitShare;
+        const refuseAt = Math.min(now + (cfg.maxWaitMs ?? defaultMaxWaitMs), latestAt);
+        return { attemptId, brand, refuseAt, exclude, allowExcluded: allowExcluded ?? false };
     };
 
     const submit = (event: EventOf<SchedulerEventKind.Submit>, now: number): SchedulerAction[] => {
--- a/packages/core/src/lib/scheduling/scheduler-contract.ts
+++ b/packages/core/src/lib/scheduling/scheduler-contract.ts
@@ -31,6 +31,8 @@
         attemptId: string;
         brand: string;
         deadlineAt: number;
+        /** When the request arrived, for a further attempt of it: its waits count together. Now by default. */
+        arrivedAt?: number;
         /** Members that must not be picked. */
         exclude: string[];
         /** Whether an excluded member may be picked when there is no other; for idempotent requests only. */
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,8 +1,10 @@
 /** Every proof by name. */
 import { proveFloor } from "./floor.js";
+import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
     "floor": proveFloor,
+    "overload": proveOverload,
 };
