Look for expired waits only when one is due

Ruled out: a second queue ordered by time, more state for the same gain. Change: the queue keeps a lower bound of the next refusal.

--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -67,9 +67,9 @@
         return { kind: SchedulerActionKind.Grant, attemptId, serverId };
     };
 
-    const refuseIf = (isUnwanted: (waiting: Waiting) => boolean, now: number): SchedulerAction[] => {
+    const refuseAll = (removed: Waiting[], now: number): SchedulerAction[] => {
         const reason = picker.isEmpty() ? RefusalKind.NoServers : RefusalKind.NoCapacity;
-        return queue.removeIf(isUnwanted).map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
+        return removed.map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
     };
 
     const grantWaiting = (now: number): SchedulerAction[] => {
@@ -83,7 +83,7 @@
 
     // The expired go first, so that no slot is spent on a caller who is about to give up.
     const drain = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => waiting.refuseAt <= now, now),
+        ...refuseAll(queue.expire(now), now),
         ...grantWaiting(now),
     ];
 
@@ -134,7 +134,7 @@
 
     // Nobody waits for members that are gone.
     const refuseUnservable = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => !picker.canServe(waiting), now),
+        ...refuseAll(queue.removeIf(waiting => !picker.canServe(waiting)), now),
         ...drain(now),
     ];
 
--- a/packages/core/src/lib/scheduling/fair-queue.ts
+++ b/packages/core/src/lib/scheduling/fair-queue.ts
@@ -23,13 +23,15 @@
     push(waiting: Waiting): void;
     /** Removes a waiting attempt; false when it does not wait. */
     remove(attemptId: string): boolean;
+    /** Removes and returns those whose time to be refused has come. */
+    expire(now: number): Waiting[];
     /** Removes and returns those for which `isUnwanted` holds. */
     removeIf(isUnwanted: (waiting: Waiting) => boolean): Waiting[];
     /** Removes the first attempt, in turn, for which `match` finds something. */
     takeFirst<T>(match: (waiting: Waiting) => T | undefined): Match<T> | undefined;
     /** How many attempts get a slot before a new one of the brand. */
     ahead(brand: string): number;
-    /** The earliest time at which an attempt is to be refused. */
+    /** No attempt is to be refused before this time; `undefined` when none waits. */
     nextRefusalAt(): number | undefined;
     size(): number;
 }
@@ -42,6 +44,8 @@
     // The order of the keys is the order of the turns: a brand that had its turn is put in again at the end.
     const lanes = new Map<string, Waiting[]>();
     let size = 0;
+    // A lower bound: it is worked out anew only when its time has come, since looking at all on each step costs too much.
+    let nextRefusalAt = Infinity;
 
     const laneLength = (brand: string): number => lanes.get(brand)?.length ?? 0;
 
@@ -57,6 +61,7 @@
             lane.push(waiting);
         }
         size += 1;
+        nextRefusalAt = Math.min(nextRefusalAt, waiting.refuseAt);
     };
 
     const removeFrom = (brand: string, lane: Waiting[], index: number): void => {
@@ -85,9 +90,12 @@
         for (const waiting of unwanted) {
             remove(waiting.attemptId);
         }
+        nextRefusalAt = all().reduce((earliest, waiting) => Math.min(earliest, waiting.refuseAt), Infinity);
         return unwanted;
     };
 
+    const expire = (now: number): Waiting[] => now < nextRefusalAt ? [] : removeIf(waiting => waiting.refuseAt <= now);
+
     const takeFirst = <T>(match: (waiting: Waiting) => T | undefined): Match<T> | undefined => {
         for (const [brand, lane] of lanes) {
             for (const [index, waiting] of lane.slice(0, laneScanLimit).entries()) {
@@ -118,8 +126,15 @@
         return sum;
     };
 
-    const nextRefusalAt = (): number | undefined =>
-        size === 0 ? undefined : all().reduce((earliest, waiting) => Math.min(earliest, waiting.refuseAt), Infinity);
-
-    return { admits, push, remove, removeIf, takeFirst, ahead, nextRefusalAt, size: () => size };
+    return {
+        admits,
+        push,
+        remove,
+        expire,
+        removeIf,
+        takeFirst,
+        ahead,
+        nextRefusalAt: () => size === 0 ? undefined : nextRefusalAt,
+        size: () => size,
+    };
 };
