Prove that refusals tell the truth

Cause: no run showed that a request called not run was not run. Ruled out: answering while a slot is being released. Change: the proof truthful-refusal: 300 cases of 60 requests with backend servers that run or not, shed, cut, answer late or never, and with hedges.

--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -2,9 +2,11 @@
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
+import { proveTruthfulRefusal } from "./truthful-refusal.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
     "floor": proveFloor,
     "overload": proveOverload,
+    "truthful-refusal": proveTruthfulRefusal,
 };
