Measure ways to divide the slots among hosts

Cause: ownership was proposed, not measured. Change: npm run measure -- overload, 40 hosts, 12 backend servers of 3 slots.

--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,5 +1,8 @@
 /** Every measurement by name. */
 import type { Measurement } from "./measurement.js";
+import { measureOverload } from "./overload.js";
 
 /** The measurements that `npm run measure` knows. */
-export const measurements: Readonly<Record<string, Measurement>> = {};
+export const measurements: Readonly<Record<string, Measurement>> = {
+    "overload": measureOverload,
+};
