--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -21,7 +21,7 @@
 const defaultMaxWaitMs = 500;
 const defaultSlowStartStepMs = 1000;
 
-/** The share of the time to its deadline that an attempt may wait; the rest is for serving it, or for asking elsewhere. */
+/** The share of its time after which a request no longer waits for a slot; the rest is for serving it, or for asking elsewhere. */
 const waitShare = 0.5;
 
 const minRetryAfterMs = 50;
@@ -67,9 +67,9 @@
         return { kind: SchedulerActionKind.Grant, attemptId, serverId };
     };
 
-    const refuseIf = (isUnwanted: (waiting: Waiting) => boolean, now: number): SchedulerAction[] => {
+    const refuseAll = (removed: Waiting[], now: number): SchedulerAction[] => {
         const reason = picker.isEmpty() ? RefusalKind.NoServers : RefusalKind.NoCapacity;
-        return queue.removeIf(isUnwanted).map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
+        return removed.map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
     };
 
     const grantWaiting = (now: number): SchedulerAction[] => {
@@ -83,7 +83,7 @@
 
     // The expired go first, so that no slot is spent on a caller who is about to give up.
     const drain = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => waiting.refuseAt <= now, now),
+        ...refuseAll(queue.expire(now), now),
         ...grantWaiting(now),
     ];
 
@@ -99,9 +99,11 @@
     };
 
     const waitingOf = (event: EventOf<SchedulerEventKind.Submit>, now: number): Waiting => {
-        const maxWaitMs = Math.min(cfg.maxWaitMs ?? defaultMaxWaitMs, (event.deadlineAt - now) * waitShare);
-        const { attemptId, brand, exclude, allowExcluded } = event;
-        return { attemptId, brand, refuseAt: now + maxWaitMs, exclude, allowExcluded: allowExcluded ?? false };
+        const { attemptId, brand, exclude, allowExcluded, deadlineAt } = event;
+        const arrivedAt = event.arrivedAt ?? now;
+        const latestAt = arrivedAt + (deadlineAt - arrivedAt) * waitShare;
+        const refuseAt = Math.min(now + (cfg.maxWaitMs ?? defaultMaxWaitMs), latestAt);
+        return { attemptId, brand, refuseAt, exclude, allowExcluded: allowExcluded ?? false };
     };
 
     const submit = (event: EventOf<SchedulerEventKind.Submit>, now: number): SchedulerAction[] => {
@@ -132,7 +134,7 @@
 
     // Nobody waits for members that are gone.
     const refuseUnservable = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => !picker.canServe(waiting), now),
+        ...refuseAll(queue.removeIf(waiting => !picker.canServe(waiting)), now),
         ...drain(now),
     ];
 
