--- a/packages/core/src/lib/consensus/configuration-machine.ts
+++ b/packages/core/src/lib/consensus/configuration-machine.ts
@@ -3,6 +3,8 @@
 import { compareVersions, noVersion } from "../tables.js";
 import type { VersionedTables } from "../tables.js";
 import type { DecidedChange, MachineState, ProposedChange } from "./log-entry.js";
+import { createRosterMachine, emptyRosterState } from "./roster-machine.js";
+import type { Enrollment, EnrollmentDecision } from "./roster-machine.js";
 
 /** How many decided changes are remembered by id; an older id that is sent again is judged by its expected version. */
 export const decidedHorizon = 1024;
@@ -13,6 +15,8 @@
 export interface ConfigurationMachine {
     /** Decides a change, or repeats the decision when its id was decided before. */
     apply(change: ProposedChange): DecidedChange;
+    /** Decides an enrolment of an entry host. */
+    enroll(enrollment: Enrollment): EnrollmentDecision;
     decided(changeId: string): DecidedChange | undefined;
     versioned(): VersionedTables;
     /** The latest accepted changes, newest first. */
@@ -26,6 +30,7 @@
     winningChangeId: "",
     decided: [],
     history: [],
+    roster: emptyRosterState,
 });
 
 /** Creates a machine that goes on from `initial`. */
@@ -35,6 +40,7 @@
     // A Map keeps the order of insertion, so its first key is the oldest decision.
     const decisions = new Map(initial.decided.map(decision => [decision.changeId, decision]));
     const history = [...initial.history];
+    const roster = createRosterMachine(initial.roster);
 
     const remember = (decision: DecidedChange): DecidedChange => {
         decisions.set(decision.changeId, decision);
@@ -68,9 +74,16 @@
 
     return {
         apply,
+        enroll: enrollment => roster.enroll(enrollment),
         decided: changeId => decisions.get(changeId),
         versioned: () => versioned,
         history: limit => history.slice(-Math.max(limit, 1)).reverse(),
-        toState: () => ({ versioned, winningChangeId, decided: [...decisions.values()], history: [...history] }),
+        toState: () => ({
+            versioned,
+            winningChangeId,
+            decided: [...decisions.values()],
+            history: [...history],
+            roster: roster.toState(),
+        }),
     };
 };
--- a/packages/core/src/lib/consensus/log-entry.ts
+++ b/packages/core/src/lib/consensus/log-entry.ts
@@ -1,11 +1,14 @@
 /** What the replicated log and the disk of a state host hold. */
 import type { HistoryEntry } from "../state-messages.js";
 import type { Tables, Version, VersionedTables } from "../tables.js";
+import type { Enrollment, RosterState } from "./roster-machine.js";
 
 export enum EntryKind {
     /** Opens a leader's term, so that it can commit what earlier leaders left. */
     Noop = "noop",
     Change = "change",
+    /** An entry host has started. */
+    Enroll = "enroll",
     /** Takes the lost disk of a host out of the voters. */
     RemoveVoter = "remove-voter",
     /** Makes the new disk of a host a voter. */
@@ -25,6 +28,7 @@
 export type EntryBody =
     | { kind: EntryKind.Noop; }
     | { kind: EntryKind.Change; change: ProposedChange; }
+    | { kind: EntryKind.Enroll; enrollment: Enrollment; }
     | { kind: EntryKind.RemoveVoter; hostId: string; }
     | { kind: EntryKind.AddVoter; hostId: string; incarnation: number; };
 
@@ -70,6 +74,7 @@
     decided: DecidedChange[];
     /** The latest accepted changes, oldest first. */
     history: HistoryEntry[];
+    roster: RosterState;
 }
 
 /** Replaces the log up to and including `index`. */
--- a/packages/core/src/lib/consensus/request-desk.ts
+++ b/packages/core/src/lib/consensus/request-desk.ts
@@ -1,8 +1,8 @@
 /** Requests of operators, entry hosts and other state hosts that wait for an answer. */
 import { StateReplyKind, StateRequestKind, StateRole } from "../state-messages.js";
-import type { ApplyRequest, ReadRequest, StateReply, StateRequest } from "../state-messages.js";
+import type { ApplyRequest, EnrollRequest, ReadRequest, StateReply, StateRequest } from "../state-messages.js";
 import { EntryKind } from "./log-entry.js";
-import type { DecidedChange } from "./log-entry.js";
+import type { EntryBody } from "./log-entry.js";
 import type { NodeContext } from "./node-context.js";
 import { PeerMessageKind } from "./node-messages.js";
 import type { Replication } from "./replication.js";
@@ -12,7 +12,9 @@
 export type Origin = { requestId: number; } | { from: string; forwardId: number; };
 
 /** A request that only the leader can answer. */
-export type LeaderRequest = ApplyRequest | ReadRequest;
+export type LeaderRequest = ApplyRequest | EnrollRequest | ReadRequest;
+
+const leaderKinds = new Set([StateRequestKind.Apply, StateRequestKind.Enroll, StateRequestKind.Read]);
 
 interface Waiting {
     origin: Origin;
@@ -32,8 +34,8 @@
     /** Another state host passes on a request. */
     receiveForward(from: string, forwardId: number, request: StateRequest): void;
     receiveForwardReply(forwardId: number, reply: StateReply): void;
-    /** A change at `index` has been decided. */
-    decided(index: number, decision: DecidedChange): void;
+    /** What was proposed at `index` has been decided. */
+    decided(index: number, reply: StateReply): void;
     /** Answers the reads that have become answerable. */
     settleReads(): void;
     /** The host no longer leads: what it held goes to the next leader. */
@@ -59,12 +61,19 @@
         ctx.send(origin.from, { kind: PeerMessageKind.ForwardReply, forwardId: origin.forwardId, reply });
     };
 
-    const propose = (waiting: Waiting, request: ApplyRequest): void => {
+    const bodyOf = (request: ApplyRequest | EnrollRequest): EntryBody => {
+        if (request.kind === StateRequestKind.Enroll) {
+            const { host, incarnation } = request;
+            return { kind: EntryKind.Enroll, enrollment: { host, incarnation, at: ctx.wallClock() } };
+        }
         const { changeId, expectedVersion, tables, author } = request;
+        return { kind: EntryKind.Change, change: { changeId, expectedVersion, tables, author, acceptedAt: ctx.wallClock() } };
+    };
+
+    const propose = (waiting: Waiting, request: ApplyRequest | EnrollRequest): void => {
         // The index is noted first: with one host the entry is decided before `propose` returns.
         proposed.set(ctx.log.lastIndex() + 1, waiting);
-        const change = { changeId, expectedVersion, tables, author, acceptedAt: ctx.wallClock() };
-        replication.propose({ kind: EntryKind.Change, change });
+        replication.propose(bodyOf(request));
     };
 
     const startRead = (): void => {
@@ -101,7 +110,7 @@
 
     const lead = (waiting: Waiting): void => {
         const { request } = waiting;
-        if (request.kind === StateRequestKind.Apply) {
+        if (request.kind !== StateRequestKind.Read) {
             propose(waiting, request);
             return;
         }
@@ -178,16 +187,16 @@
     return {
         submit,
         receiveForward: (from, forwardId, request) => {
-            if (request.kind === StateRequestKind.Apply || request.kind === StateRequestKind.Read) {
-                submit({ from, forwardId }, request);
+            if (leaderKinds.has(request.kind)) {
+                submit({ from, forwardId }, request as LeaderRequest);
             }
         },
         receiveForwardReply,
-        decided: (index, decision) => {
+        decided: (index, reply) => {
             const waiting = proposed.get(index);
             proposed.delete(index);
             if (waiting !== undefined) {
-                answer(waiting.origin, decisionReply(decision));
+                answer(waiting.origin, reply);
             }
         },
         settleReads,
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -14,6 +14,7 @@
 import { createReplicatedLog } from "./replicated-log.js";
 import { createReplication } from "./replication.js";
 import { createRequestDesk } from "./request-desk.js";
+import { decisionReply } from "./request-replies.js";
 import { createWatchers } from "./watchers.js";
 
 const defaultSnapshotEvery = 256;
@@ -63,7 +64,10 @@
     const applyEntry = (entry: LogEntry): void => {
         ctx.appliedIndex = entry.index;
         if (entry.body.kind === EntryKind.Change) {
-            desk.decided(entry.index, ctx.machine.apply(entry.body.change));
+            desk.decided(entry.index, decisionReply(ctx.machine.apply(entry.body.change)));
+        }
+        if (entry.body.kind === EntryKind.Enroll) {
+            desk.decided(entry.index, { kind: StateReplyKind.Enrolled, ...ctx.machine.enroll(entry.body.enrollment) });
         }
     };
 
@@ -167,6 +171,7 @@
     const onRequest: { [P in StateRequestKind]: (requestId: number, request: Extract<StateRequest, { kind: P; }>) => void; } = {
         [StateRequestKind.Apply]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Read]: (requestId, request) => desk.submit({ requestId }, request),
+        [StateRequestKind.Enroll]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Watch]: (requestId, request) => watchers.add(requestId, request),
         [StateRequestKind.Status]: requestId => ctx.reply(requestId, { kind: StateReplyKind.Status, status: status() }),
         [StateRequestKind.History]: (requestId, request) =>
--- a/packages/core/src/lib/entry/entry-messages.ts
+++ b/packages/core/src/lib/entry/entry-messages.ts
@@ -1,8 +1,10 @@
 /** Events, actions and messages of one entry host. */
 import type { Announcement } from "../backend-server.js";
+import type { ClaimAnswer, ClaimMessage } from "../claims/index.js";
 import type { ClockEcho, RelayMessage } from "../directory/relay.js";
 import type { MembershipMessage } from "../membership/messages.js";
 import type { AttemptClass, Refusal } from "../outcome.js";
+import type { EntryRoster } from "../state-messages.js";
 import type { Version, VersionedTables } from "../tables.js";
 
 /** A request as the decisions see it; its body stays with the adapter. */
@@ -21,21 +23,19 @@
 }
 
 /** A whole answer that can be replayed. */
-export interface StoredAnswer {
-    status: number;
-    headers: Record<string, string>;
-    body: Uint8Array;
-}
+export type StoredAnswer = ClaimAnswer;
 
 export enum FleetMessageKind {
     Membership = "membership",
     Relay = "relay",
+    Claim = "claim",
 }
 
 /** A message between entry hosts. */
 export type FleetMessage =
     | { kind: FleetMessageKind.Membership; message: MembershipMessage; }
-    | { kind: FleetMessageKind.Relay; message: RelayMessage; };
+    | { kind: FleetMessageKind.Relay; message: RelayMessage; }
+    | { kind: FleetMessageKind.Claim; message: ClaimMessage; };
 
 export enum EntryEventKind {
     Request = "request",
@@ -45,6 +45,7 @@
     Announce = "announce",
     Message = "message",
     Tables = "tables",
+    Enrolled = "enrolled",
     Tick = "tick",
     Drain = "drain",
 }
@@ -77,6 +78,8 @@
     | { kind: EntryEventKind.Announce; announcement: Announcement; echo?: ClockEcho; }
     | { kind: EntryEventKind.Message; fromHostId: string; message: FleetMessage; }
     | { kind: EntryEventKind.Tables; versioned: VersionedTables; }
+    /** The state hosts have answered the enrolment of this process. */
+    | { kind: EntryEventKind.Enrolled; firstStart: boolean; roster: EntryRoster; }
     | { kind: EntryEventKind.Tick; }
     | { kind: EntryEventKind.Drain; };
 
--- a/packages/core/src/lib/entry/entry-node.ts
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -13,6 +13,7 @@
 import { compareVersions, formatVersion, noVersion } from "../tables.js";
 import type { Version, VersionedTables } from "../tables.js";
 import { candidatesOf, holdersOf } from "./candidates.js";
+import { createClaimBridge } from "./claim-bridge.js";
 import { EntryActionKind, EntryEventKind, FleetMessageKind, NoteKind } from "./entry-messages.js";
 import type { EntryAction, EntryEvent, FleetMessage } from "./entry-messages.js";
 import { createPoolSet } from "./pool-set.js";
@@ -42,6 +43,8 @@
     membership(): Membership;
     pools(): PoolSet;
     openRequests(): number;
+    /** Keys whose claims this host keeps as a replica. */
+    claimedKeys(): number;
 }
 
 /** Addresses in one answer to a caller. */
@@ -64,7 +67,24 @@
 
     const candidates = (service: string): HostInfo[] => candidatesOf(service, self.region, membership.usable());
 
-    const flow = createRequestFlow({ hostId: self.hostId, ports: { routes: () => routes, pools, candidates } });
+    const flow = createRequestFlow({
+        hostId: self.hostId,
+        ports: {
+            routes: () => routes,
+            pools,
+            candidates,
+            wantClaim: (info, now) => claims.want(info, now),
+            endClaim: (requestId, end, now) => claims.end(requestId, end, now),
+        },
+    });
+
+    const claims = createClaimBridge({
+        hostId: self.hostId,
+        incarnation: cfg.incarnation,
+        random: cfg.random,
+        onGranted: (requestId, now) => flow.claimGranted(requestId, now),
+        onSettled: requestId => flow.claimSettled(requestId),
+    });
 
     const send = (toHostId: string, message: FleetMessage): EntryAction => ({ kind: EntryActionKind.Send, toHostId, message });
 
@@ -145,10 +165,16 @@
 
     const stepMembership = (event: MembershipEvent, now: number): EntryAction[] => applyMembership(membership.step(event, now));
 
-    const onMessage = (fromHostId: string, message: FleetMessage, now: number): EntryAction[] =>
-        message.kind === FleetMessageKind.Relay
-            ? onRelay(fromHostId, message.message, now)
-            : stepMembership({ kind: MembershipEventKind.Message, fromHostId, message: message.message }, now);
+    const onMessage = (fromHostId: string, message: FleetMessage, now: number): EntryAction[] => {
+        switch (message.kind) {
+            case FleetMessageKind.Relay:
+                return onRelay(fromHostId, message.message, now);
+            case FleetMessageKind.Claim:
+                return claims.receive(fromHostId, message.message, now);
+            case FleetMessageKind.Membership:
+                return stepMembership({ kind: MembershipEventKind.Message, fromHostId, message: message.message }, now);
+        }
+    };
 
     const takeTables = (next: VersionedTables, now: number): EntryAction[] => {
         // Never back to an older version, whoever sends it.
@@ -167,6 +193,7 @@
     const tick = (now: number): EntryAction[] => [
         ...stepMembership({ kind: MembershipEventKind.Tick }, now),
         ...applyPoolChanges(pools.tick(now), now),
+        ...claims.tick(now),
     ];
 
     const drain = (now: number): EntryAction[] => {
@@ -190,6 +217,8 @@
                 return onMessage(event.fromHostId, event.message, now);
             case EntryEventKind.Tables:
                 return takeTables(event.versioned, now);
+            case EntryEventKind.Enrolled:
+                return claims.enrolled(event.firstStart, event.roster, now);
             case EntryEventKind.Tick:
                 return tick(now);
             case EntryEventKind.Drain:
@@ -226,5 +255,6 @@
         membership: () => membership,
         pools: () => pools,
         openRequests: () => flow.open(),
+        claimedKeys: () => claims.keys(),
     };
 };
--- a/packages/core/src/lib/entry/refusals.ts
+++ b/packages/core/src/lib/entry/refusals.ts
@@ -1,6 +1,7 @@
 /** The answers that an entry host gives by itself. */
 import { Outcome, RefusalKind } from "../outcome.js";
 import type { Refusal } from "../outcome.js";
+import { isKeyed } from "./request-book.js";
 import type { OpenRequest } from "./request-book.js";
 
 const retryAfterMs = 250;
@@ -41,9 +42,13 @@
 /** The caller closed its connection before an attempt was made. */
 export const callerWentAway: Refusal = notRun(RefusalKind.DeadlinePassed, "The caller went away.");
 
-/** Makes a refusal truthful: once an attempt may have reached a backend server, "not run" can't be said. */
+/**
+ * Makes a refusal truthful: once an attempt may have reached a backend server, "not run" can't be said.
+ *
+ * Nor can it of a keyed request without a claim: an earlier sending of the key may have run at another host.
+ */
 export const truthful = (request: OpenRequest, refusal: Refusal): Refusal =>
-    request.mayHaveRun
+    request.mayHaveRun || (isKeyed(request) && !request.claimed)
         ? {
             kind: RefusalKind.AttemptFailed,
             outcome: Outcome.Unknown,
--- a/packages/core/src/lib/entry/request-book.ts
+++ b/packages/core/src/lib/entry/request-book.ts
@@ -21,6 +21,9 @@
     abandoned: boolean;
 }
 
+/** Whether the request must run at most once however often it is sent. */
+export const isKeyed = (request: OpenRequest): boolean => !request.idempotent && request.info.idempotencyKey !== undefined;
+
 /** An attempt that waits for a slot or holds one. */
 export interface OpenAttempt {
     attemptId: string;
--- a/packages/core/src/lib/entry/request-flow-ports.ts
+++ b/packages/core/src/lib/entry/request-flow-ports.ts
@@ -17,6 +17,6 @@
     /** Hosts that may serve the service for this region, best first; this host may be among them. */
     candidates(service: string): HostInfo[];
     /** Asks for the claim of a keyed request; the answer comes back through `claimGranted` or `claimRefused`. */
-    wantClaim?(info: RequestInfo, now: number): EntryAction[];
-    endClaim?(requestId: string, end: ClaimEnd, now: number): EntryAction[];
+    wantClaim(info: RequestInfo, now: number): EntryAction[];
+    endClaim(requestId: string, end: ClaimEnd, now: number): EntryAction[];
 }
--- a/packages/core/src/lib/entry/request-flow.ts
+++ b/packages/core/src/lib/entry/request-flow.ts
@@ -9,7 +9,7 @@
 import type { EntryAction, EntryEvent, EntryEventKind, RequestInfo, StoredAnswer } from "./entry-messages.js";
 import type { PoolNode } from "./pool-node.js";
 import { callerWentAway, noRoute, noServers, notScheduled, refusedByAll, truthful } from "./refusals.js";
-import { createRequestBook } from "./request-book.js";
+import { createRequestBook, isKeyed } from "./request-book.js";
 import type { OpenAttempt, OpenRequest } from "./request-book.js";
 import type { ClaimEnd, RequestFlowPorts } from "./request-flow-ports.js";
 import { isIdempotent } from "./route-table.js";
@@ -46,7 +46,7 @@
         const { requestId } = request.info;
         book.close(requestId);
         const end: ClaimEnd = refusal.outcome === Outcome.NotRun ? { kind: "not-run" } : { kind: "unknown" };
-        const claim = request.claimed ? ports.endClaim?.(requestId, end, now) ?? [] : [];
+        const claim = request.claimed ? ports.endClaim(requestId, end, now) : [];
         return [{ kind: EntryActionKind.Refuse, requestId, refusal }, ...claim];
     };
 
@@ -109,13 +109,8 @@
         return applyScheduled(pool, pool.submit(wish, now).scheduled, now);
     };
 
-    const isKeyed = (request: OpenRequest): boolean => !request.idempotent && request.info.idempotencyKey !== undefined;
-
     const serveHere = (request: OpenRequest, pool: PoolNode, now: number): EntryAction[] => {
-        if (isKeyed(request) && ports.wantClaim !== undefined) {
-            return ports.wantClaim(request.info, now);
-        }
-        return submit(request, pool, now);
+        return isKeyed(request) ? ports.wantClaim(request.info, now) : submit(request, pool, now);
     };
 
     const forward = (request: OpenRequest, to: HostInfo): EntryAction => {
@@ -175,7 +170,7 @@
     const deliver = (request: OpenRequest, attemptId: string, answer: StoredAnswer | undefined, now: number): EntryAction[] => {
         const { requestId } = request.info;
         book.close(requestId);
-        const claim = request.claimed ? ports.endClaim?.(requestId, { kind: "completed", answer }, now) ?? [] : [];
+        const claim = request.claimed ? ports.endClaim(requestId, { kind: "completed", answer }, now) : [];
         return [{ kind: EntryActionKind.Deliver, requestId, attemptId }, ...claim];
     };
 
@@ -184,7 +179,7 @@
         const { requestId } = request.info;
         book.close(requestId);
         const end: ClaimEnd = attemptClass === AttemptClass.Success ? { kind: "completed" } : { kind: "unknown" };
-        return request.claimed ? ports.endClaim?.(requestId, end, now) ?? [] : [];
+        return request.claimed ? ports.endClaim(requestId, end, now) : [];
     };
 
     const giveUp = (request: OpenRequest, outcome: Outcome.NotRun | Outcome.Unknown, now: number): EntryAction[] => {
@@ -289,7 +284,7 @@
         const request = book.find(requestId);
         const pool = request === undefined ? undefined : ports.pools.find(request.service);
         if (request === undefined) {
-            return ports.endClaim?.(requestId, { kind: "not-run" }, now) ?? [];
+            return ports.endClaim(requestId, { kind: "not-run" }, now);
         }
         request.claimed = true;
         return pool === undefined
--- a/packages/core/src/lib/state-messages.ts
+++ b/packages/core/src/lib/state-messages.ts
@@ -7,6 +7,7 @@
     Watch = "watch",
     Status = "status",
     History = "history",
+    Enroll = "enroll",
 }
 
 /** Asks for a change of both tables. Sending the same `changeId` again yields the same reply. */
@@ -49,7 +50,31 @@
     limit: number;
 }
 
-export type StateRequest = ApplyRequest | ReadRequest | WatchRequest | StatusRequest | HistoryRequest;
+/** An entry host that may hold claims. */
+export interface RosterHost {
+    hostId: string;
+    region: string;
+    availabilityZone: string;
+}
+
+/** The agreed list of entry hosts. Liveness never changes it. */
+export interface EntryRoster {
+    /** Grows by one with each change of the list. */
+    version: number;
+    hosts: RosterHost[];
+    /** Lists that hosts with an older roster may still use, newest first. */
+    earlier: RosterHost[][];
+}
+
+/** An entry host says that it has started and asks for the roster; it asks again until the reply holds one. */
+export interface EnrollRequest {
+    kind: StateRequestKind.Enroll;
+    host: RosterHost;
+    /** The incarnation of its process. */
+    incarnation: number;
+}
+
+export type StateRequest = ApplyRequest | ReadRequest | WatchRequest | StatusRequest | HistoryRequest | EnrollRequest;
 
 export enum StateReplyKind {
     Applied = "applied",
@@ -61,6 +86,7 @@
     NotLeader = "not-leader",
     Unavailable = "unavailable",
     Invalid = "invalid",
+    Enrolled = "enrolled",
 }
 
 export enum StateRole {
@@ -100,4 +126,5 @@
     | { kind: StateReplyKind.History; entries: HistoryEntry[]; }
     | { kind: StateReplyKind.NotLeader; leaderId?: string; message: string; }
     | { kind: StateReplyKind.Unavailable; retryAfterMs: number; message: string; }
+    | { kind: StateReplyKind.Enrolled; firstStart: boolean; roster?: EntryRoster; }
     | { kind: StateReplyKind.Invalid; message: string; };
--- a/packages/entry/src/lib/attempt-runner.ts
+++ b/packages/entry/src/lib/attempt-runner.ts
@@ -84,10 +84,8 @@
     if (result.head === undefined || result.streamed) {
         return undefined;
     }
-    const headers: Record<string, string> = {};
-    for (const [name, value] of Object.entries(endToEndHeaders(result.head.headers))) {
-        headers[name] = Array.isArray(value) ? value.join(", ") : value;
-    }
+    const headers = Object.entries(endToEndHeaders(result.head.headers))
+        .flatMap(([name, value]) => [value].flat().map((single): [string, string] => [name, single]));
     return { status: result.head.status, headers, body: result.body };
 };
 
--- a/packages/entry/src/lib/open-caller.ts
+++ b/packages/entry/src/lib/open-caller.ts
@@ -118,7 +118,11 @@
 
     const replay = (caller: OpenCaller, answer: StoredAnswer): void => {
         caller.res.setHeader("idempotency-replayed", "true");
-        whole(caller, { status: answer.status, headers: answer.headers }, Buffer.from(answer.body));
+        const headers: Record<string, string[]> = {};
+        for (const [name, value] of answer.headers) {
+            headers[name] = [...headers[name] ?? [], value];
+        }
+        whole(caller, { status: answer.status, headers }, Buffer.from(answer.body));
     };
 
     const sink = (caller: OpenCaller): AnswerSink => ({
--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -23,6 +23,7 @@
 import { createBackendClients } from "./backend-clients.js";
 import { createCallerBook } from "./caller-book.js";
 import { createCallerServer } from "./caller-server.js";
+import { startEnroller } from "./enroller.js";
 import type { EntrySettings } from "./entry-settings.js";
 import { buildEntryStatus } from "./entry-status.js";
 import { createFleetLinks } from "./fleet-links.js";
@@ -260,6 +261,13 @@
         },
     });
 
+    const enroller = startEnroller({
+        host: { hostId: self.hostId, region: self.region, availabilityZone: self.availabilityZone },
+        incarnation: startedAt,
+        stateHosts: stateClients,
+        onEnrolled: (firstStart, roster) => send({ kind: EntryEventKind.Enrolled, firstStart, roster }),
+    });
+
     const ticker = setInterval(() => send({ kind: EntryEventKind.Tick }), tickMs);
     await watcher.catchUp();
     watcher.start();
@@ -282,6 +290,7 @@
         await closed;
         clearInterval(ticker);
         watcher.stop();
+        enroller.stop();
         await closeServer(adminServer);
         await rpcServer.close();
         links.close();
--- a/packages/entry/src/lib/tables-watcher.ts
+++ b/packages/entry/src/lib/tables-watcher.ts
@@ -36,7 +36,7 @@
 
 /** Creates a watcher that is not started. */
 export const createTablesWatcher = (options: TablesWatcherOptions): TablesWatcher => {
-    let stopped = false;
+    const state = { stopped: false };
     let next = 0;
     let reachable = true;
 
@@ -60,7 +60,7 @@
 
     const catchUp = async (): Promise<void> => {
         const until = performance.now() + catchUpMs;
-        while (performance.now() < until && !stopped) {
+        while (performance.now() < until && !state.stopped) {
             // A linearizable read is the newest there is; without one, the newest of what anybody answers has to do.
             const answers = await Promise.all(options.stateHosts.map(read));
             if (answers.includes(true)) {
@@ -81,9 +81,9 @@
 
     const run = async (): Promise<void> => {
         let client = pick();
-        while (!stopped) {
+        while (!state.stopped) {
             const isAnswered = client !== undefined && await watch(client, watchMs);
-            if (isAnswered !== reachable) {
+            if (isAnswered !== reachable && !state.stopped) {
                 reachable = isAnswered;
                 options.onReachable(reachable);
             }
@@ -100,7 +100,7 @@
             void run();
         },
         stop: () => {
-            stopped = true;
+            state.stopped = true;
         },
     };
 };
--- a/packages/state/src/lib/request-schema.ts
+++ b/packages/state/src/lib/request-schema.ts
@@ -33,6 +33,11 @@
     z.object({ kind: z.literal(StateRequestKind.Read) }),
     z.object({ kind: z.literal(StateRequestKind.Watch), known: version, waitMs: z.number(), hostId: z.string() }),
     z.object({ kind: z.literal(StateRequestKind.Status) }),
+    z.object({
+        kind: z.literal(StateRequestKind.Enroll),
+        host: z.object({ hostId: name, region: name, availabilityZone: name }),
+        incarnation: z.int().min(0),
+    }),
     z.object({ kind: z.literal(StateRequestKind.History), limit: z.number() }),
 ]);
 
