Prove the recovery of the data folder and mend what the proofs found

Ruled out: refusing every damaged last record (a crash tears it often, and nothing depends on it then); a second synced file with the length of the log (two syncs a change). Change: the checksum covers mark and length; a new disk joins only after it has answered a round of heartbeats that began when it asked, and is caught up; a log that was replaced as a whole can't be torn. The proof 'recovery' crashes the real storage code at an operation, at every byte of what was not synced, and again while it recovers, and damages or removes files. The proof 'config' strikes the leader more often and gives each process a clock of its own speed. The last record of the log alone can't be told from a torn one.

--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -1,3 +1,4 @@
 /** Naive versions of the decisions, for differential tests (development only). */
+export * from "./lib/naive-folder.js";
 export * from "./lib/naive-state.js";
 export * from "./lib/naive-view.js";
--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -19,6 +19,13 @@
     busy: boolean;
 }
 
+/** A new disk that asks to vote. */
+interface Join {
+    incarnation: number;
+    /** The round of heartbeats that began when it asked; its reply shows that the disk is still the host's. */
+    round: number;
+}
+
 /** The leader's side of the log. */
 export interface Replication {
     /** Begins a term as leader. */
@@ -48,7 +55,7 @@
 /** Creates the leader's side of one host. */
 export const createReplication = (ctx: NodeContext, hooks: ReplicationHooks): Replication => {
     let progress = new Map<string, Progress>();
-    let joins = new Map<string, number>();
+    let joins = new Map<string, Join>();
     let round = 0;
     let heartbeatAt = 0;
     let termStart = 0;
@@ -122,26 +129,46 @@
     /** One change of voters at a time, and none before the own term has committed: two quorums then always meet. */
     const mayChangeVoters = (): boolean => isCaughtUp() && ctx.log.votersIndex() <= ctx.commitIndex;
 
+    /** Whether the new disk is alive now, not only in a late message, and holds all that is committed. */
+    const isReadyToJoin = (hostId: string, join: Join): boolean => {
+        const peer = progress.get(hostId);
+        return peer?.incarnation === join.incarnation && peer.round >= join.round && peer.matchIndex >= ctx.commitIndex;
+    };
+
     const settleJoins = (): void => {
-        for (const [hostId, incarnation] of joins) {
+        for (const [hostId, join] of joins) {
             const voting = ctx.log.voters()[hostId];
-            if (voting === incarnation) {
+            if (voting === join.incarnation) {
                 joins.delete(hostId);
                 continue;
             }
             if (!mayChangeVoters()) {
                 return;
             }
-            const peer = progress.get(hostId);
-            if (voting !== undefined) {
-                propose({ kind: EntryKind.RemoveVoter, hostId });
-            }
-            else if (peer?.incarnation === incarnation && peer.matchIndex >= ctx.commitIndex) {
-                propose({ kind: EntryKind.AddVoter, hostId, incarnation });
+            if (isReadyToJoin(hostId, join)) {
+                const { incarnation } = join;
+                propose(
+                    voting === undefined
+                        ? { kind: EntryKind.AddVoter, hostId, incarnation }
+                        : { kind: EntryKind.RemoveVoter, hostId },
+                );
             }
         }
     };
 
+    const startRound = (): number => {
+        round += 1;
+        broadcast();
+        return round;
+    };
+
+    const receiveJoin = (from: string, incarnation: number): void => {
+        if (joins.get(from)?.incarnation !== incarnation) {
+            joins.set(from, { incarnation, round: startRound() });
+        }
+        settleJoins();
+    };
+
     const start = (): void => {
         const voters = ctx.log.voters();
         const fresh = (hostId: string): Progress => ({
@@ -201,15 +228,8 @@
         tick,
         propose,
         receiveReply,
-        receiveJoin: (from, incarnation) => {
-            joins.set(from, incarnation);
-            settleJoins();
-        },
-        startRound: () => {
-            round += 1;
-            broadcast();
-            return round;
-        },
+        receiveJoin,
+        startRound,
         isConfirmed: asked => hasQuorum(peer => peer.round >= asked),
         isCaughtUp,
         successor: () => {
--- a/packages/proofs/src/lib/config-cluster.ts
+++ b/packages/proofs/src/lib/config-cluster.ts
@@ -5,23 +5,27 @@
 import type { CreateDisk, HostAction, HostDisk, HostProcess } from "./config-contender.js";
 
 const tickMs = 4;
-/** Some messages take a detour, so that they arrive when the sender has long gone on. */
-const detourShare = 0.03;
+/** A detour takes up to this many times as long. */
 const detourFactor = 20;
+/** How fast the clock of a process runs; no promise may rest on clocks that agree. */
+const slowestClock = 0.3;
+const fastestClock = 1.5;
 const maxSeed = 2 ** 31;
 
 /** What the links do to messages, as shares from 0 to 1. */
 export interface LinkFaults {
     lost: number;
     repeated: number;
-    /** The longest delay, in milliseconds. */
+    /** The share that takes a detour, so that it arrives when the sender has long gone on. */
+    detour: number;
+    /** The longest delay without a detour, in milliseconds. */
     maxDelayMs: number;
     /** The share of steps in which the process crashes among its actions. */
     crashInStep: number;
 }
 
 /** The links of a cluster that is well. */
-export const soundLinks: LinkFaults = { lost: 0, repeated: 0, maxDelayMs: 5, crashInStep: 0 };
+export const soundLinks: LinkFaults = { lost: 0, repeated: 0, detour: 0, maxDelayMs: 5, crashInStep: 0 };
 
 interface Host {
     hostId: string;
@@ -29,6 +33,7 @@
     process: HostProcess | undefined;
     /** Counts starts, so that timers of an earlier process die with it. */
     starts: number;
+    clockRate: number;
     /** A stopped process holds what arrives until it goes on. */
     paused: (() => void)[] | undefined;
 }
@@ -53,6 +58,8 @@
     setFaults(faults: LinkFaults): void;
     /** Whether every running host is a voter. */
     allRecovered(): boolean;
+    /** A running host that believes to lead. */
+    leader(): string | undefined;
     /** What has struck the cluster so far. */
     struck(): Strikes;
 }
@@ -76,6 +83,7 @@
         disk: options.createDisk(hostId, hostIds, options.snapshotEvery),
         process: undefined,
         starts: 0,
+        clockRate: 1,
         paused: undefined,
     }]));
     const cuts = new Set<string>();
@@ -84,6 +92,8 @@
     let nextRequestId = 1;
     const strikes: Strikes = { crashes: 0, lostDisks: 0 };
 
+    const timeOf = (host: Host): number => clock.now() * host.clockRate;
+
     const crash = (hostId: string): void => {
         const host = hosts.get(hostId)!;
         strikes.crashes += host.process === undefined ? 0 : 1;
@@ -112,14 +122,14 @@
         for (let copy = 0; copy < copies; copy += 1) {
             clock.after(delay(), () => {
                 const host = hosts.get(to)!;
-                enter(host, process => process.receive(from, message, clock.now()));
+                enter(host, process => process.receive(from, message, timeOf(host)));
             });
         }
     };
 
     const delay = (): number => {
         const direct = 1 + random.next() * faults.maxDelayMs;
-        return random.next() < detourShare ? direct * detourFactor * random.next() : direct;
+        return random.next() < faults.detour ? direct * detourFactor * random.next() : direct;
     };
 
     const answer = (requestId: number, reply: StateReply): void => {
@@ -154,7 +164,7 @@
             if (host.starts === start && host.process !== undefined) {
                 // A stopped process does not pile up its own ticks.
                 if (host.paused === undefined) {
-                    enter(host, process => process.tick(clock.now()));
+                    enter(host, process => process.tick(timeOf(host)));
                 }
                 tickForever(host, start);
             }
@@ -167,6 +177,7 @@
             return;
         }
         host.starts += 1;
+        host.clockRate = slowestClock + random.next() * (fastestClock - slowestClock);
         host.process = host.disk.start(createRandom(random.below(maxSeed)));
         tickForever(host, host.starts);
     };
@@ -191,7 +202,8 @@
             nextRequestId += 1;
             waiting.set(requestId, answered);
             clock.after(1 + random.next() * faults.maxDelayMs, () => {
-                enter(hosts.get(hostId)!, process => process.request(requestId, request, clock.now()));
+                const host = hosts.get(hostId)!;
+                enter(host, process => process.request(requestId, request, timeOf(host)));
             });
         },
         crash,
@@ -216,6 +228,7 @@
             faults = newer;
         },
         allRecovered: () => [...hosts.values()].every(host => host.process?.isRecovered() === true),
+        leader: () => [...hosts.values()].find(host => host.process?.leads())?.hostId,
         struck: () => strikes,
     };
 };
--- a/packages/proofs/src/lib/config-contender.ts
+++ b/packages/proofs/src/lib/config-contender.ts
@@ -38,6 +38,7 @@
     request(requestId: number, request: StateRequest, now: number): HostAction[];
     /** Whether losing the disk of another host is within what the version has to survive. */
     isRecovered(): boolean;
+    leads(): boolean;
 }
 
 /** The disk of one host, which outlives its processes. */
@@ -90,6 +91,7 @@
                 node.step({ kind: NodeEventKind.Message, from, message: message as PeerMessage }, now).map(adapt),
             request: (requestId, request, now) => node.step({ kind: NodeEventKind.Request, requestId, request }, now).map(adapt),
             isRecovered: () => node.status().role !== StateRole.Recovering,
+            leads: () => node.status().role === StateRole.Leader,
         };
     };
 
@@ -124,6 +126,7 @@
                 node.step({ kind: NodeEventKind.Message, from, message: message as NaiveMessage }).map(adapt),
             request: (requestId, request) => node.step({ kind: NodeEventKind.Request, requestId, request }).map(adapt),
             isRecovered: () => true,
+            leads: () => false,
         };
     };
 
--- a/packages/proofs/src/lib/config-faults.ts
+++ b/packages/proofs/src/lib/config-faults.ts
@@ -5,6 +5,8 @@
 
 const maxPauseBetweenMs = 200;
 const maxOutageMs = 400;
+/** The share of faults that strike the leader. */
+const leaderShare = 0.5;
 
 /** What the faults of one case share. */
 export interface FaultOptions {
@@ -137,7 +139,8 @@
         if (clock.now() >= options.untilMs) {
             return;
         }
-        const hostId = cluster.hostIds[random.below(cluster.hostIds.length)]!;
+        const any = cluster.hostIds[random.below(cluster.hostIds.length)]!;
+        const hostId = random.next() < leaderShare ? cluster.leader() ?? any : any;
         const drawn = random.below(faults.length + 1);
         if (drawn === faults.length) {
             chaseRepair(options, hostId);
--- a/packages/proofs/src/lib/config.ts
+++ b/packages/proofs/src/lib/config.ts
@@ -37,6 +37,7 @@
     faults: {
         lost: random.next() * 0.08,
         repeated: random.next() * 0.2,
+        detour: random.next() * 0.06,
         maxDelayMs: 1 + random.next() * 8,
         crashInStep: random.next() * 0.001,
     },
--- a/packages/state/src/lib/data-folder.ts
+++ b/packages/state/src/lib/data-folder.ts
@@ -30,6 +30,8 @@
 interface LogHeader {
     baseIndex: number;
     baseTerm: number;
+    /** Whether a record of entries was written together with the header; it can't be torn, so its loss is damage. */
+    hasEntries: boolean;
 }
 
 type LogWrite = Extract<WriteAction, { kind: NodeActionKind.Append | NodeActionKind.Truncate; }>;
@@ -64,6 +66,8 @@
     entries: LogEntry[];
     soundBytes: number;
     end: RecordsEnd;
+    /** Whether a record is missing that was never at risk of being torn. */
+    isCut: boolean;
 }
 
 const readLog = (content: Uint8Array): ReadLog | undefined => {
@@ -82,7 +86,8 @@
             entries.length = Math.max(Math.min(entries.length, write.fromIndex - header.baseIndex - 1), 0);
         }
     }
-    return { header, entries, soundBytes: scan.soundBytes, end: scan.end };
+    const isCut = header.hasEntries && batches.length === 0;
+    return { header, entries, soundBytes: scan.soundBytes, end: scan.end, isCut };
 };
 
 /** The single value of a file that is always replaced as a whole. */
@@ -109,7 +114,8 @@
         await disk.syncFolder();
     };
 
-    const replaceLog = async (header: LogHeader, entries: readonly LogEntry[]): Promise<void> => {
+    const replaceLog = async (baseIndex: number, baseTerm: number, entries: readonly LogEntry[]): Promise<void> => {
+        const header: LogHeader = { baseIndex, baseTerm, hasEntries: entries.length > 0 };
         const batch: LogWrite[] = entries.length === 0 ? [] : [{ kind: NodeActionKind.Append, entries: [...entries] }];
         const content = Buffer.concat([encodeRecord(header), ...(batch.length === 0 ? [] : [encodeRecord(batch)])]);
         await replace(logFile, content);
@@ -126,7 +132,7 @@
 
     const saveSnapshot = async (snapshot: Snapshot, entries: readonly LogEntry[]): Promise<void> => {
         await replace(snapshotFile, encodeRecord(snapshot));
-        await replaceLog({ baseIndex: snapshot.index, baseTerm: snapshot.term }, entries);
+        await replaceLog(snapshot.index, snapshot.term, entries);
     };
 
     const write = async (actions: readonly WriteAction[]): Promise<void> => {
@@ -159,7 +165,7 @@
     });
 
     const create = async (): Promise<DataFolderResult> => {
-        await replaceLog({ baseIndex: 0, baseTerm: 0 }, []);
+        await replaceLog(0, 0, []);
         // Last of all: a folder without it counts as empty.
         await replace(hardStateFile, encodeRecord(firstHardState));
         return opened({ hardState: firstHardState, entries: [] }, true);
@@ -184,7 +190,7 @@
     if (snapshotContent !== undefined && snapshot === undefined) {
         return corrupt(snapshotFile, "is damaged");
     }
-    if (log === undefined || log.end === RecordsEnd.Corrupt) {
+    if (log === undefined || log.end === RecordsEnd.Corrupt || log.isCut) {
         return corrupt(logFile, `is damaged after byte ${log?.soundBytes ?? 0}`);
     }
     if ((snapshot?.index ?? 0) < log.header.baseIndex) {
@@ -200,7 +206,7 @@
     }
     const entries = entriesAfter(snapshot, log.header, log.entries);
     if (snapshot !== undefined && snapshot.index !== log.header.baseIndex) {
-        await replaceLog({ baseIndex: snapshot.index, baseTerm: snapshot.term }, entries);
+        await replaceLog(snapshot.index, snapshot.term, entries);
     }
     return opened({ hardState, snapshot, entries }, false);
 };
--- a/packages/state/src/lib/record-codec.ts
+++ b/packages/state/src/lib/record-codec.ts
@@ -5,6 +5,8 @@
 /** Begins each record, so that a reader finds the next one behind a damaged one. */
 const mark = 0x43504c31;
 const headerBytes = 12;
+/** The mark and the length, which the checksum covers too: a header of zeros must not look like an empty record. */
+const checkedHeaderBytes = 8;
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
@@ -26,13 +28,15 @@
     end: RecordsEnd;
 }
 
+const checksumOf = (header: Buffer, body: Buffer): number => crc32(body, crc32(header.subarray(0, checkedHeaderBytes)));
+
 /** Encodes one value as a record. */
 export const encodeRecord = (value: unknown): Buffer => {
     const body = encoder.encode(value);
     const record = Buffer.allocUnsafe(headerBytes + body.length);
     record.writeUInt32BE(mark, 0);
     record.writeUInt32BE(body.length, 4);
-    record.writeUInt32BE(crc32(body), 8);
+    record.writeUInt32BE(checksumOf(record, body), checkedHeaderBytes);
     body.copy(record, headerBytes);
     return record;
 };
@@ -46,7 +50,8 @@
     if (end > bytes.length) {
         return undefined;
     }
-    return crc32(bytes.subarray(start + headerBytes, end)) === bytes.readUInt32BE(start + 8) ? end : undefined;
+    const checksum = checksumOf(bytes.subarray(start), bytes.subarray(start + headerBytes, end));
+    return checksum === bytes.readUInt32BE(start + checkedHeaderBytes) ? end : undefined;
 };
 
 const hasRecordAfter = (bytes: Buffer, start: number): boolean => {
