--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -3,5 +3,6 @@
 export * from "./lib/naive-detector.js";
 export * from "./lib/naive-retry.js";
 export * from "./lib/naive-scheduler.js";
+export * from "./lib/naive-folder.js";
 export * from "./lib/naive-state.js";
 export * from "./lib/naive-view.js";
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -5,6 +5,7 @@
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
 import { proveTruthfulRefusal } from "./truthful-refusal.js";
+import { proveRecovery } from "./recovery.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
@@ -13,4 +14,5 @@
     "floor": proveFloor,
     "overload": proveOverload,
     "truthful-refusal": proveTruthfulRefusal,
+    "recovery": proveRecovery,
 };
