Contrast a member only with members that are used and as far away

Cause: at the start and end of trouble of the whole pool, members were blamed: the median over all others was that of far members, which a host hardly uses. Ruled out: higher thresholds (evidence grows with the trouble's length) and a longer wait for good answers of others (they come back one after another). Change: a weighted median by recent attempts over members of the same distance, threefold, with the others' peaks of late; reference times prefer the same distance; rates are learnt faster; a pause of 100 ms (Prompt) or 200 ms (Careful) is no illness; a member that is doubted while the others get nothing is picked later, so that a comparison comes about.

--- a/packages/core/src/lib/detection/attempts.ts
+++ b/packages/core/src/lib/detection/attempts.ts
@@ -7,6 +7,8 @@
     startedAt: number;
     /** How many levels of lateness have been counted against the member. */
     levelsCounted: number;
+    /** Whether the member was cold when it started. */
+    cold: boolean;
 }
 
 /** The greatest number of levels of lateness. */
--- a/packages/core/src/lib/detection/latency-reference.ts
+++ b/packages/core/src/lib/detection/latency-reference.ts
@@ -16,6 +16,14 @@
     remove(serverId: string): void;
 }
 
+/** Options of {@link createLatencyReferences}. */
+export interface LatencyReferencesCfg {
+    /** Whether a member's times may serve as a reference. */
+    isTrusted: (serverId: string) => boolean;
+    /** Whether two members are about as far away. */
+    isComparable: (a: string, b: string) => boolean;
+}
+
 const windowSamples = 64;
 const minSamples = 8;
 const maxSampleAgeMs = 60_000;
@@ -53,9 +61,9 @@
  * Creates the references of one pool.
  *
  * The median over members of each member's own figures is taken, so that one ill member among them moves it little.
- * `isTrusted` says whether a member's times may serve as a reference.
+ * Members that are as far away go before others.
  */
-export const createLatencyReferences = (isTrusted: (serverId: string) => boolean): LatencyReferences => {
+export const createLatencyReferences = (cfg: LatencyReferencesCfg): LatencyReferences => {
     const kinds = new Map<string, Map<string, Window>>();
 
     const add = (serverId: string, requestKind: string, logMs: number, now: number): void => {
@@ -72,12 +80,19 @@
         window.logs.length >= minSamples && now - window.lastAt <= maxSampleAgeMs;
 
     const compare = (serverId: string, members: Map<string, Window>, now: number): LatencyReference | undefined => {
-        const found: LatencyReference[] = [];
+        const all: LatencyReference[] = [];
+        const near: LatencyReference[] = [];
         for (const [id, window] of members) {
-            if (id !== serverId && usable(window, now) && isTrusted(id)) {
-                found.push(summarize(window, now));
+            if (id === serverId || !usable(window, now) || !cfg.isTrusted(id)) {
+                continue;
+            }
+            const reference = summarize(window, now);
+            all.push(reference);
+            if (cfg.isComparable(id, serverId)) {
+                near.push(reference);
             }
         }
+        const found = near.length > 0 ? near : all;
         if (found.length === 0) {
             return undefined;
         }
--- a/packages/core/src/lib/detection/member-evidence.ts
+++ b/packages/core/src/lib/detection/member-evidence.ts
@@ -18,8 +18,11 @@
 
 /** The evidence against one member, kept per test. */
 export interface MemberEvidence {
-    add(test: Test, evidence: number, badStartedAt: number): void;
+    add(test: Test, evidence: number, badStartedAt: number, now: number): void;
+    /** The evidence in thresholds. */
     value(test: Test): number;
+    /** The greatest evidence of late, in thresholds. */
+    peak(test: Test, now: number): number;
     /** When the last attempt that counted against the member in this test was started; `undefined` without one. */
     lastBadStartedAt(test: Test): number | undefined;
     /** When the first attempt of the present run of evidence was started. */
@@ -30,6 +33,9 @@
 // A member far over the threshold must still come back soon after it is well again.
 const capThresholds = 2.5;
 
+// Members recover from trouble of the whole pool one after another; the last one must not be blamed for that.
+const peakDecayMs = 2_000;
+
 const thresholdOf = (policy: DetectionPolicy, test: Test): number =>
     test === Test.Failure ? policy.failureThreshold : policy.slowThreshold;
 
@@ -43,11 +49,27 @@
     let lastBad: Partial<Record<Test, number>> = {};
     let firstBad: Partial<Record<Test, number>> = {};
 
-    const add = (test: Test, evidence: number, badStartedAt: number): void => {
+    const peaks: Record<Test, { value: number; at: number; }> = {
+        [Test.Failure]: { value: 0, at: 0 },
+        [Test.Tail]: { value: 0, at: 0 },
+        [Test.Shift]: { value: 0, at: 0 },
+    };
+
+    const value = (test: Test): number => sums[test].value() / thresholdOf(policy, test);
+
+    const peak = (test: Test, now: number): number => {
+        const last = peaks[test];
+        return Math.max(value(test), last.value * Math.exp((last.at - now) / peakDecayMs));
+    };
+
+    const add = (test: Test, evidence: number, badStartedAt: number, now: number): void => {
         if (evidence > 0 && sums[test].value() === 0) {
             firstBad[test] = badStartedAt;
         }
         sums[test].add(evidence);
+        if (value(test) > 0 || peaks[test].value > 0) {
+            peaks[test] = { value: peak(test, now), at: now };
+        }
         if (evidence > 0) {
             lastBad[test] = Math.max(lastBad[test] ?? badStartedAt, badStartedAt);
         }
@@ -61,7 +83,8 @@
 
     return {
         add,
-        value: test => sums[test].value() / thresholdOf(policy, test),
+        value,
+        peak,
         lastBadStartedAt: test => lastBad[test],
         firstBadStartedAt: test => firstBad[test],
         reset,
--- a/packages/core/src/lib/detection/policy.ts
+++ b/packages/core/src/lib/detection/policy.ts
@@ -11,6 +11,8 @@
     probationShare: number;
     /** An attempt is in the tail when its time exceeds the peers' typical time by this many scales. */
     tailScales: number;
+    /** A pause that a well member may take, for example to collect garbage, in milliseconds. */
+    pauseMs: number;
     /** Answers of other members that must have gone well meanwhile, so that the whole pool's trouble blames nobody. */
     peerAnswers: number;
     /** Time without a first probe after an ejection, in milliseconds; doubles with each strike. */
@@ -30,6 +32,7 @@
         slowThreshold: 9.5,
         probationShare: 0.7,
         tailScales: 2.5,
+        pauseMs: 100,
         peerAnswers: 3,
         backoffMs: 2_000,
         maxBackoffMs: 300_000,
@@ -38,9 +41,10 @@
     },
     [DetectionMode.Careful]: {
         failureThreshold: 22,
-        slowThreshold: 24,
+        slowThreshold: 22,
         probationShare: 0.8,
         tailScales: 3,
+        pauseMs: 200,
         peerAnswers: 6,
         backoffMs: 5_000,
         maxBackoffMs: 300_000,
--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -4,6 +4,7 @@
 import type { Attempt } from "./attempts.js";
 import { createBadRates } from "./bad-rate.js";
 import type { BadRates } from "./bad-rate.js";
+import { comparableMembers, contrast, isSameDistance } from "./contrast.js";
 import { createLatencyReferences } from "./latency-reference.js";
 import type { LatencyReference } from "./latency-reference.js";
 import { createMemberEvidence, Test, tests } from "./member-evidence.js";
@@ -38,9 +39,13 @@
     /** Counts attempts that hang. */
     tick(now: number): void;
     /** The evidence against a member beyond that against the pool, in thresholds. */
-    score(serverId: string): number;
+    score(serverId: string, now: number): number;
     /** Whether anything speaks against a member; otherwise its score is 0. */
     isDoubted(serverId: string): boolean;
+    /** Whether much speaks against a member while the others get too few requests to compare it with. */
+    needsContrast(serverId: string, now: number): boolean;
+    /** Whether many requests went well at the member of late. */
+    isKnownWell(serverId: string, now: number): boolean;
     /** Whether requests went well at the member after `since`. */
     answeredSince(serverId: string, since: number): boolean;
     members(): string[];
@@ -48,13 +53,13 @@
 
 const usualFailureRate = 0.005;
 const usualTailRate = 0.01;
-const rateSamples = 50;
-const rateDecayMs = 10_000;
+const rateSamples = 20;
+const rateDecayMs = 5_000;
 const usualNextLevelRate = 0.2;
-const illNextLevelRate = 0.6;
-const levelSamples = 20;
+const illNextLevelRate = 0.8;
+const levelSamples = 8;
 const levelDecayMs = 60_000;
-const illAddedRate = 0.25;
+const illAddedRates = { [Test.Failure]: 0.25, [Test.Tail]: 0.4 };
 const maxIllRate = 0.95;
 const brokenAnswerEvidence = 1;
 const minTailLog = Math.log(2.5);
@@ -64,10 +69,17 @@
 const minServiceMs = 1;
 // Below this share of a threshold a contrast is not worth its time.
 const scoreFloor = 0.25;
+const recentMs = 2_000;
+const wellAttempts = 8;
 
 interface Member extends MemberTraits {
     evidence: MemberEvidence;
     lastWellAt: number;
+    /** Attempts started of late; they decay. */
+    recent: number;
+    refreshedAt: number;
+    /** Attempts answered well of late; they decay. */
+    well: number;
 }
 
 const failures: ReadonlySet<AttemptClass> = new Set([
@@ -78,19 +90,19 @@
     AttemptClass.Timeout,
 ]);
 
-const illRateOf = (wellRate: number): number => Math.min(maxIllRate, wellRate + illAddedRate);
-
-const medianOf = (values: number[]): number => {
-    const sorted = values.sort((a, b) => a - b);
-    return sorted[sorted.length >> 1] ?? 0;
-};
+const illRateOf = (test: Test.Failure | Test.Tail, wellRate: number): number =>
+    Math.min(maxIllRate, wellRate + illAddedRates[test]);
 
 /** Creates the evidence of one pool. */
 export const createPoolEvidence = (cfg: PoolEvidenceCfg): PoolEvidence => {
     const { policy } = cfg;
     const members = new Map<string, Member>();
     const attempts = new Map<string, Attempt>();
-    const references = createLatencyReferences(cfg.isTrusted);
+    const isComparable = (a: string, b: string): boolean => {
+        const [first, second] = [members.get(a), members.get(b)];
+        return first !== undefined && second !== undefined && isSameDistance(first, second);
+    };
+    const references = createLatencyReferences({ isTrusted: cfg.isTrusted, isComparable });
     const rates: Record<Test.Failure | Test.Tail, Map<string, BadRates>> = {
         [Test.Failure]: new Map(),
         [Test.Tail]: new Map(),
@@ -107,7 +119,14 @@
     const wellAnswers: { serverId: string; startedAt: number; }[] = [];
 
     const join = (serverId: string, traits: MemberTraits): void => {
-        const member = members.get(serverId) ?? { ...traits, evidence: createMemberEvidence(policy), lastWellAt: -Infinity };
+        const member = members.get(serverId) ?? {
+            ...traits,
+            evidence: createMemberEvidence(policy),
+            lastWellAt: 0,
+            recent: 0,
+            refreshedAt: 0,
+            well: 0,
+        };
         members.set(serverId, Object.assign(member, traits));
     };
 
@@ -136,23 +155,36 @@
         }
     };
 
+    const refresh = (member: Member, now: number): void => {
+        const kept = Math.exp((member.refreshedAt - now) / recentMs);
+        member.recent *= kept;
+        member.well *= kept;
+        member.refreshedAt = now;
+    };
+
     const started = (attemptId: string, serverId: string, requestKind: string, now: number): void => {
         if (!members.has(serverId)) {
             join(serverId, { cold: false, roundTripMs: 0 });
         }
-        attempts.set(attemptId, { serverId, requestKind, startedAt: now, levelsCounted: 0 });
+        const member = members.get(serverId)!;
+        refresh(member, now);
+        member.recent += 1;
+        attempts.set(attemptId, { serverId, requestKind, startedAt: now, levelsCounted: 0, cold: member.cold });
     };
 
     const logTime = (attempt: Attempt, member: Member, now: number): number =>
         Math.log(Math.max(minServiceMs, now - attempt.startedAt - member.roundTripMs));
 
-    const tailLog = (reference: LatencyReference, member: Member): number =>
-        reference.center + Math.max(minTailLog, policy.tailScales * reference.scale) + (member.cold ? coldAddedLog : 0);
+    const tailLog = (reference: LatencyReference, attempt: Attempt): number => {
+        const relative = reference.center + Math.max(minTailLog, policy.tailScales * reference.scale);
+        const absolute = Math.log(Math.exp(reference.center) + policy.pauseMs);
+        return Math.max(relative, absolute) + (attempt.cold ? coldAddedLog : 0);
+    };
 
     const countRate = (test: Test.Failure | Test.Tail, bad: boolean, attempt: Attempt, member: Member, now: number): void => {
         const rate = ratesOf(test, attempt.requestKind);
         const wellRate = rate.others(attempt.serverId);
-        member.evidence.add(test, bernoulliEvidence(bad, wellRate, illRateOf(wellRate)), attempt.startedAt);
+        member.evidence.add(test, bernoulliEvidence(bad, wellRate, illRateOf(test, wellRate)), attempt.startedAt, now);
         rate.add(attempt.serverId, bad, now);
     };
 
@@ -160,7 +192,7 @@
         const rate = levelRates[level]!;
         const wellRate = rate.others(attempt.serverId);
         const illRate = Math.max(illNextLevelRate, wellRate);
-        member.evidence.add(Test.Tail, bernoulliEvidence(passed, wellRate, illRate), attempt.startedAt);
+        member.evidence.add(Test.Tail, bernoulliEvidence(passed, wellRate, illRate), attempt.startedAt, now);
         rate.add(attempt.serverId, passed, now);
     };
 
@@ -177,14 +209,14 @@
     const checkLateness = (attempt: Attempt, member: Member, now: number): LatencyReference | undefined => {
         const reference = references.others(attempt.serverId, attempt.requestKind, now);
         if (reference !== undefined) {
-            countLateness(attempt, member, levelsPassed(logTime(attempt, member, now), tailLog(reference, member)), now);
+            countLateness(attempt, member, levelsPassed(logTime(attempt, member, now), tailLog(reference, attempt)), now);
         }
         return reference;
     };
 
     const countSuccess = (attempt: Attempt, member: Member, reference: LatencyReference | undefined, now: number): void => {
         const logMs = logTime(attempt, member, now);
-        if (!member.cold) {
+        if (!attempt.cold) {
             references.add(attempt.serverId, attempt.requestKind, logMs, now);
         }
         countRate(Test.Failure, false, attempt, member, now);
@@ -198,10 +230,12 @@
             countLevel(attempt.levelsCounted, false, attempt, member, now);
         }
         const ratio = logMs - reference.center;
-        if (!member.cold) {
-            member.evidence.add(Test.Shift, shiftEvidence(ratio, reference.scale), attempt.startedAt);
+        if (!attempt.cold) {
+            member.evidence.add(Test.Shift, shiftEvidence(ratio, reference.scale), attempt.startedAt, now);
         }
         if (ratio < wellLog) {
+            refresh(member, now);
+            member.well += 1;
             member.lastWellAt = now;
             wellAnswers.push({ serverId: attempt.serverId, startedAt: attempt.startedAt });
             wellAnswers.splice(0, wellAnswers.length - rememberedAnswers);
@@ -211,7 +245,7 @@
     const countFailure = (attempt: Attempt, member: Member, outcome: AttemptClass, now: number): void => {
         countRate(Test.Failure, true, attempt, member, now);
         if (outcome === AttemptClass.Cut || outcome === AttemptClass.Corrupt) {
-            member.evidence.add(Test.Failure, brokenAnswerEvidence, attempt.startedAt);
+            member.evidence.add(Test.Failure, brokenAnswerEvidence, attempt.startedAt, now);
         }
     };
 
@@ -253,24 +287,34 @@
     const contrastFrom = (member: Member, test: Test): number | undefined =>
         test === Test.Failure ? member.evidence.firstBadStartedAt(test) : member.evidence.lastBadStartedAt(test);
 
-    const testScore = (serverId: string, member: Member, test: Test): number => {
+    const comparable = (serverId: string, member: Member, now: number): Member[] => {
+        const others = [...members].filter(([id]) => id !== serverId && cfg.isTrusted(id)).map(([, other]) => other);
+        [member, ...others].forEach(each => refresh(each, now));
+        return comparableMembers(member, others);
+    };
+
+    const testScore = (serverId: string, member: Member, test: Test, now: number): number => {
         const since = contrastFrom(member, test);
         if (since === undefined || !peersAnswered(serverId, since)) {
             return 0;
         }
-        const others = [...members].filter(([id]) => id !== serverId && cfg.isTrusted(id));
-        return member.evidence.value(test) - medianOf(others.map(([, other]) => other.evidence.value(test)));
+        const others = comparable(serverId, member, now);
+        return others.length === 0 ? 0 : contrast(member, others, test, now);
     };
 
-    const score = (serverId: string): number => {
+    const score = (serverId: string, now: number): number => {
         const member = members.get(serverId);
         if (member === undefined) {
             return 0;
         }
-        return Math.max(
-            0,
-            ...tests.map(test => member.evidence.value(test) < scoreFloor ? 0 : testScore(serverId, member, test)),
-        );
+        const doubtful = tests.filter(test => member.evidence.value(test) >= scoreFloor);
+        return Math.max(0, ...doubtful.map(test => testScore(serverId, member, test, now)));
+    };
+
+    const needsContrast = (serverId: string, now: number): boolean => {
+        const member = members.get(serverId);
+        const suspicious = member !== undefined && tests.some(test => member.evidence.value(test) >= 1);
+        return suspicious && comparable(serverId, member, now).length === 0;
     };
 
     const isDoubted = (serverId: string): boolean => {
@@ -287,7 +331,15 @@
         tick,
         score,
         isDoubted,
-        answeredSince: (serverId, since) => (members.get(serverId)?.lastWellAt ?? -Infinity) > since,
+        needsContrast,
+        isKnownWell: (serverId, now) => {
+            const member = members.get(serverId);
+            if (member !== undefined) {
+                refresh(member, now);
+            }
+            return member !== undefined && member.well >= wellAttempts;
+        },
+        answeredSince: (serverId, since) => (members.get(serverId)?.lastWellAt ?? 0) > since,
         members: () => [...members.keys()],
     };
 };
--- a/packages/core/src/lib/detection/sequential-test.ts
+++ b/packages/core/src/lib/detection/sequential-test.ts
@@ -27,7 +27,7 @@
 
 const illShift = Math.log(3);
 // Above the middle between well and ill, so that a machine that is somewhat slower by nature stays.
-const neutralShift = Math.log(1.9);
+const neutralShift = Math.log(2.1);
 const maxShiftEvidence = 2.5;
 const minShiftEvidence = -2;
 
--- a/packages/core/src/lib/detector.ts
+++ b/packages/core/src/lib/detector.ts
@@ -138,7 +138,7 @@
     };
 
     const evidenceOf = (serverId: string): number => {
-        const own = pool.score(serverId);
+        const own = pool.score(serverId, clock);
         const greatest = Math.min(1, remote.opinions(serverId, clock).greatest);
         return own >= ownDoubt ? own + remoteShare * greatest : own;
     };
@@ -263,10 +263,10 @@
             .map(([serverId, found]) => ({ serverId, evidence: Math.max(1, found.admission.evidence()), fleet: found.fleet }));
 
     const weight = (serverId: string): number => {
-        const opinions = remote.opinions(serverId, clock);
-        const doubted = opinions.ill > 0 && !pool.answeredSince(serverId, opinions.illSince);
+        const doubted = remote.opinions(serverId, clock).ill > 0 && !pool.isKnownWell(serverId, clock);
         const own = known.get(serverId)?.admission.weight(clock) ?? 1;
-        return doubted ? Math.min(own, doubtedWeight) : own;
+        const moved = doubted || pool.needsContrast(serverId, clock);
+        return moved ? Math.min(own, doubtedWeight) : own;
     };
 
     return { step, suspicions, weight };
