Let the command line present another token to state hosts

Cause: state hosts accept the fleet's tokens and entry hosts the operators', so one file did not fit both; and after a refused token the message of the second try hid the hint of the first. Ruled out: one token for both, which would hand the fleet's token to entry hosts as an operator's.

--- a/packages/ctl/src/lib/cli.ts
+++ b/packages/ctl/src/lib/cli.ts
@@ -21,6 +21,7 @@
     "state-hosts",
     "entry-hosts",
     "token-file",
+    "state-token-file",
     "timeout-ms",
     "json",
     "table",
@@ -36,7 +37,10 @@
 /** What the command line asked for: a command's result, or a text such as the help. */
 export type CliOutcome = { kind: "result"; json: boolean; result: CommandResult; } | { kind: "text"; text: string; };
 
-type GlobalArgs = Record<"stateHosts" | "entryHosts" | "tokenFile", string | undefined> & { timeoutMs: number; json: boolean; };
+type GlobalArgs = Record<"stateHosts" | "entryHosts" | "tokenFile" | "stateTokenFile", string | undefined> & {
+    timeoutMs: number;
+    json: boolean;
+};
 
 const parseHosts = (flag: string, text: string | undefined): GlobalOptions["stateHosts"] => {
     const parsed = peersSetting().safeParse(text ?? "");
@@ -54,6 +58,7 @@
         stateHosts: parseHosts("--state-hosts", args.stateHosts),
         entryHosts: parseHosts("--entry-hosts", args.entryHosts),
         tokenFile: args.tokenFile,
+        stateTokenFile: args.stateTokenFile,
         timeoutMs: args.timeoutMs,
     };
 };
@@ -78,6 +83,12 @@
             defaultDescription: variableOf("tokenFile"),
             describe: "File whose first line is the operators' token",
         })
+        .option("state-token-file", {
+            type: "string",
+            default: env[variableOf("stateTokenFile")],
+            defaultDescription: variableOf("stateTokenFile"),
+            describe: "File whose first line is the token for state hosts, when it is another one",
+        })
         .option("timeout-ms", {
             type: "number",
             default: Number(env[variableOf("timeoutMs")] ?? defaultTimeoutMs),
--- a/packages/ctl/src/lib/context.ts
+++ b/packages/ctl/src/lib/context.ts
@@ -11,6 +11,8 @@
     stateHosts: PeerAddress[];
     entryHosts: PeerAddress[];
     tokenFile: string | undefined;
+    /** The token file for state hosts; `tokenFile` when it is not given. */
+    stateTokenFile: string | undefined;
     /** How long a command may take to get its answer, in milliseconds. */
     timeoutMs: number;
 }
@@ -39,7 +41,7 @@
     if (options.stateHosts.length === 0) {
         return need("--state-hosts", "state-1=10.0.0.1:7001,state-2=10.0.0.2:7001");
     }
-    const token = readToken(options.tokenFile);
+    const token = readToken(options.stateTokenFile ?? options.tokenFile);
     if (!token.ok) {
         return token.result;
     }
--- a/packages/ctl/src/lib/state-client.ts
+++ b/packages/ctl/src/lib/state-client.ts
@@ -41,17 +41,29 @@
     host: PeerAddress;
     client: RpcClient;
     connected: Promise<void>;
+    /** Whether a connection was ever made: a host that then closes it mostly does so for the token. */
+    wasConnected: () => boolean;
 }
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 const connect = (host: PeerAddress, token: string): Connection => {
     let markConnected: () => void = () => undefined;
+    let isMade = false;
     const connected = new Promise<void>(resolve => {
-        markConnected = resolve;
+        markConnected = () => {
+            isMade = true;
+            resolve();
+        };
+    });
+    const client = createRpcClient({
+        host: host.host,
+        port: host.port,
+        hostId: "operator",
+        token,
+        onConnect: () => markConnected(),
     });
-    const client = createRpcClient({ host: host.host, port: host.port, hostId: "operator", token, onConnect: markConnected });
-    return { host, client, connected };
+    return { host, client, connected, wasConnected: () => isMade };
 };
 
 type OneAnswer = { ok: true; reply: StateReply; } | { ok: false; message: string; };
@@ -60,7 +72,8 @@
     await Promise.race([connection.connected, sleep(Math.min(connectWaitMs, timeoutMs))]);
     const result = await connection.client.call(channel, request, timeoutMs);
     if (!result.ok) {
-        const hint = result.err.kind === "closed" ? " If it repeats, compare the token files of both sides." : "";
+        const isClosedByHost = result.err.kind !== "timeout" && connection.wasConnected();
+        const hint = isClosedByHost ? " It closes connections: compare the token files of both sides." : "";
         return { ok: false, message: `${result.err.message}${hint}` };
     }
     if (!isStateReply(result.body)) {
--- a/packages/report/src/lib/render-svg.ts
+++ b/packages/report/src/lib/render-svg.ts
@@ -53,6 +53,9 @@
 
 const clip = (text: string): string => text.length > maxSpenderChars ? `${text.slice(0, maxSpenderChars - 3)}...` : text;
 
+const describeBudget = (left: number): string =>
+    left < 0 ? `budget overdrawn by ${percent(-left, 0)}` : `${percent(left, 0)} of the budget left`;
+
 const drawBudget = (burn: DestinationBurn, y: number): string[] => {
     if (burn.level === BurnLevel.NoData) {
         return [];
@@ -62,7 +65,7 @@
     return [
         drawBox(budgetX, y + 28, budgetWidth, 14, track),
         drawBox(budgetX, y + 28, budgetWidth * left, 14, color),
-        drawText(budgetX, y + 20, `${percent(burn.budgetLeft, 0)} of the budget left`, 13, ink),
+        drawText(budgetX, y + 20, describeBudget(burn.budgetLeft), 13, ink),
     ];
 };
 
