Measure a region whose callers are split between owner and stand-by

Cause: a stand-by that takes more slots shortens a crash, but may harm a living owner; both sides have to be seen. Change: the measurement of overload sends 30 % of a region's callers to the stand-by of a living owner.

--- a/packages/measure/src/lib/overload-fleet.ts
+++ b/packages/measure/src/lib/overload-fleet.ts
@@ -67,6 +67,8 @@
     timeline: Timeline;
     random: Random;
     untilMs: number;
+    /** The share of the first region's callers that reach the stand-by in place of a living owner. */
+    splitShare: number;
     answer(request: FakeRequest, answer: FakeAnswer): void;
 }
 
@@ -142,7 +144,9 @@
     const share = (host: FleetHost, next: SlotShare): void => host.entry.feed({ kind: SchedulerEventKind.Share, share: next });
 
     const routeToOwner = (region: string): FleetTarget => {
-        const host = told.get(region)!.map(hostNamed).find(candidate => !candidate.isDown)!;
+        const live = told.get(region)!.map(hostNamed).filter(candidate => !candidate.isDown);
+        const isSplit = region === regions[0] && random.next() < cfg.splitShare;
+        const host = live[isSplit ? 1 : 0]!;
         return { host, hops: random.next() < staleShare ? 1 : 0 };
     };
 
--- a/packages/measure/src/lib/overload.ts
+++ b/packages/measure/src/lib/overload.ts
@@ -22,6 +22,10 @@
 const crashLearnedMs = 2000;
 const crashWindowMs = 5000;
 
+/** The share of a region's callers that can't reach its living owner, and use the stand-by. */
+const splitShare = 0.3;
+const splitLoads = [0.9, 3];
+
 const totalSlots = regions.length * serversPerRegion * slotsPerServer;
 const brands = ["parish", "choir", "family"];
 
@@ -55,6 +59,15 @@
     goodputAfter: number;
 }
 
+interface SplitRow {
+    load: number;
+    /** Goodput of the region that is split, as a share of what could be served there. */
+    goodputOfPossible: number;
+    refused: number;
+    failed: number;
+    shedsPerRequest: number;
+}
+
 interface Run {
     requests: TrackedRequest[];
     sheds: number;
@@ -80,7 +93,12 @@
     return requests;
 };
 
-const run = (mode: FleetMode, load: number, seed: number, crashes: boolean): Run => {
+interface Faults {
+    crashes?: boolean;
+    splitShare?: number;
+}
+
+const run = (mode: FleetMode, load: number, seed: number, faults: Faults): Run => {
     const timeline = createTimeline();
     const requests = drawRequests(createRandom(seed), load);
     const byId = new Map(requests.map(request => [request.requestId, request]));
@@ -89,6 +107,7 @@
         timeline,
         random: createRandom(seed + 1),
         untilMs: durationMs + timeoutMs,
+        splitShare: faults.splitShare ?? 0,
         answer: (request, answer) => {
             byId.get(request.requestId)!.answer = answer;
         },
@@ -100,7 +119,7 @@
             timeline.after(hops * betweenZonesMs, () => host.entry.submit(request));
         });
     }
-    if (crashes) {
+    if (faults.crashes === true) {
         timeline.at(crashAtMs, () => fleet.crash(regions[0]!));
         timeline.at(crashAtMs + crashLearnedMs, () => fleet.learnCrash(regions[0]!));
     }
@@ -117,19 +136,23 @@
         return sum + Math.max(0, Math.min(startedAt + serviceMs, toMs) - Math.max(startedAt, fromMs));
     }, 0);
 
+const shareOf = (requests: readonly TrackedRequest[], kind: AnswerKind): number =>
+    requests.filter(({ answer }) => answer?.kind === kind).length / requests.length;
+
+const workOf = (requests: readonly TrackedRequest[]): number => requests.reduce((sum, request) => sum + request.serviceMs, 0);
+
 const quantile = (sorted: readonly number[], share: number): number => sorted[Math.floor(sorted.length * share)] ?? 0;
 
 const measureLoad = (mode: FleetMode, load: number, seed: number): OverloadRow => {
-    const { requests, sheds } = run(mode, load, seed, false);
+    const { requests, sheds } = run(mode, load, seed, {});
     const measured = requests.filter(request => request.arrivedAt >= warmUpMs);
     const capacity = totalSlots * (durationMs - warmUpMs);
-    const offered = measured.reduce((sum, request) => sum + request.serviceMs, 0);
+    const offered = workOf(measured);
     const served = servedWork(requests, warmUpMs, durationMs);
     const times = measured
         .filter(({ answer }) => answer?.kind === AnswerKind.Served)
         .map(({ answer, arrivedAt, hops }) => answer!.at - arrivedAt + callerLatencyMs + hops * betweenZonesMs)
         .sort((a, b) => a - b);
-    const shareOf = (kind: AnswerKind): number => measured.filter(({ answer }) => answer?.kind === kind).length / measured.length;
     return {
         mode,
         load,
@@ -137,17 +160,32 @@
         goodputOfPossible: served / Math.min(capacity, offered),
         p50Ms: quantile(times, 0.5),
         p99Ms: quantile(times, 0.99),
-        refused: shareOf(AnswerKind.Refused),
-        failed: shareOf(AnswerKind.Failed),
+        refused: shareOf(measured, AnswerKind.Refused),
+        failed: shareOf(measured, AnswerKind.Failed),
         shedsPerRequest: sheds / requests.length,
         hopsPerRequest: requests.reduce((sum, request) => sum + request.hops, 0) / requests.length,
     };
 };
 
+const ofRegion = (requests: TrackedRequest[]): TrackedRequest[] => requests.filter(({ region }) => region === regions[0]);
+
+const measureSplit = (load: number, seed: number): SplitRow => {
+    const { requests, sheds } = run(FleetMode.Owners, load, seed, { splitShare });
+    const split = ofRegion(requests);
+    const measured = split.filter(request => request.arrivedAt >= warmUpMs);
+    const capacity = totalSlots / regions.length * (durationMs - warmUpMs);
+    return {
+        load,
+        goodputOfPossible: servedWork(split, warmUpMs, durationMs) / Math.min(capacity, workOf(measured)),
+        refused: shareOf(measured, AnswerKind.Refused),
+        failed: shareOf(measured, AnswerKind.Failed),
+        shedsPerRequest: sheds / split.length,
+    };
+};
+
 const measureCrash = (mode: FleetMode, seed: number): CrashRow => {
-    const ofRegion = (requests: TrackedRequest[]): TrackedRequest[] => requests.filter(({ region }) => region === regions[0]);
-    const whole = ofRegion(run(mode, crashLoad, seed, false).requests);
-    const crashed = ofRegion(run(mode, crashLoad, seed, true).requests);
+    const whole = ofRegion(run(mode, crashLoad, seed, {}).requests);
+    const crashed = ofRegion(run(mode, crashLoad, seed, { crashes: true }).requests);
     const until = crashAtMs + crashWindowMs;
     return {
         mode,
@@ -170,13 +208,29 @@
     );
 };
 
-const printTable = (rows: OverloadRow[], crashRows: CrashRow[]): void => {
-    console.log("mode               load goodput possible   p50   p99 refused  failed   sheds  hops");
-    rows.forEach(printRow);
+interface Report {
+    rows: OverloadRow[];
+    crash: CrashRow[];
+    split: SplitRow[];
+}
+
+const printFaults = (report: Report): void => {
     console.log(`crash of a host at ${crashLoad} times capacity: unanswered requests, goodput of its region in the 5 s after`);
-    for (const { mode, unanswered, goodputAfter } of crashRows) {
+    for (const { mode, unanswered, goodputAfter } of report.crash) {
         console.log(`${mode.padEnd(18)}${String(unanswered).padStart(5)}${percent(goodputAfter)}`);
     }
+    console.log(`owners, ${splitShare * 100} % of a region's callers at its stand-by: load, possible, refused, failed, sheds`);
+    for (const { load, goodputOfPossible, refused, failed, shedsPerRequest } of report.split) {
+        const shares = [goodputOfPossible, refused, failed].map(percent).join("");
+        console.log(`${load.toFixed(1).padStart(23)}${shares}${shedsPerRequest.toFixed(3).padStart(8)}`);
+    }
+};
+
+const printReport = (report: Report): void => {
+    const { rows } = report;
+    console.log("mode               load goodput possible   p50   p99 refused  failed   sheds  hops");
+    rows.forEach(printRow);
+    printFaults(report);
     const own = rows.find(row => row.mode === FleetMode.Owners && row.load === targetLoad)!;
     const verdict = own.goodput >= goodputTarget ? "met" : "missed";
     console.log(`target of ${goodputTarget * 100} % goodput at ${targetLoad} times capacity: ${verdict}`);
@@ -186,12 +240,14 @@
 export const measureOverload: Measurement = options => {
     const modes = Object.values(FleetMode);
     const rows = modes.flatMap(mode => loads.map(load => measureLoad(mode, load, options.seed)));
-    const crashRows = modes.map(mode => measureCrash(mode, options.seed));
+    const crash = modes.map(mode => measureCrash(mode, options.seed));
+    const split = splitLoads.map(load => measureSplit(load, options.seed));
+    const report = { rows, crash, split };
     if (options.json) {
-        console.log(JSON.stringify({ rows, crash: crashRows }, undefined, 4));
+        console.log(JSON.stringify(report, undefined, 4));
     }
     else {
-        printTable(rows, crashRows);
+        printReport(report);
     }
     return Promise.resolve();
 };
