Let a stand-by grow into the slots that its owner left

Ruled out: full slots at once, which is two owners whenever only the path to the living owner is cut; lending remote slots, which costs goodput whenever nothing has failed. Change: one slot of a member at first, one more with each attempt that the member did not shed, one again after a shed or 2 s without use.

--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -9,6 +9,7 @@
 import type { Scheduler, SchedulerAction, SchedulerCfg, SchedulerEvent } from "./scheduling/scheduler-contract.js";
 import { createSlotLedger } from "./scheduling/slot-ledger.js";
 import { createSlowStart } from "./scheduling/slow-start.js";
+import { createStandByLimits } from "./scheduling/stand-by-limit.js";
 import { createWaitEstimate } from "./scheduling/wait-estimate.js";
 
 export * from "./scheduling/scheduler-contract.js";
@@ -37,7 +38,8 @@
     const ledger = createSlotLedger();
     const holdBacks = createHoldBacks();
     const slowStart = createSlowStart(cfg.slowStartStepMs ?? defaultSlowStartStepMs);
-    const picker = createPicker({ cfg, ledger, holdBacks, slowStart });
+    const standBy = createStandByLimits();
+    const picker = createPicker({ cfg, ledger, holdBacks, slowStart, standBy });
     const queue = createFairQueue(cfg.queueLimit);
     const estimate = createWaitEstimate();
     const queuedIds = new Set<string>();
@@ -129,6 +131,7 @@
         const released = ledger.release(attemptId, now);
         if (released !== undefined) {
             estimate.learn(released.heldMs);
+            standBy.ended(released.serverId, now);
         }
     };
 
@@ -153,6 +156,7 @@
             ledger.release(attemptId, now);
         }
         const othersInFlight = Math.max(0, ledger.inFlight(serverId) - (isStillHeld ? 1 : 0));
+        standBy.shed(serverId, now);
         holdBacks.shed(serverId, { retryAfterMs, othersInFlight, now });
         return drain(now);
     };
--- a/packages/core/src/lib/scheduling/picker.ts
+++ b/packages/core/src/lib/scheduling/picker.ts
@@ -3,8 +3,9 @@
 import type { SchedulerCfg, SchedulerMember } from "./scheduler-contract.js";
 import type { SlotLedger } from "./slot-ledger.js";
 import type { SlotShare } from "./slot-share.js";
-import { sharedPoolSlots, sharedSlots, wholeShare } from "./slot-share.js";
+import { sharedSlots, SlotShareKind, wholeShare } from "./slot-share.js";
 import type { SlowStart } from "./slow-start.js";
+import type { StandByLimits } from "./stand-by-limit.js";
 
 /** What picking needs to know of a waiting attempt. */
 export interface PickWish {
@@ -33,11 +34,12 @@
     ledger: SlotLedger;
     holdBacks: HoldBacks;
     slowStart: SlowStart;
+    standBy: StandByLimits;
 }
 
 /** Creates the picker of a pool without members. */
 export const createPicker = (parts: PickerParts): Picker => {
-    const { cfg, ledger, holdBacks, slowStart } = parts;
+    const { cfg, ledger, holdBacks, slowStart, standBy } = parts;
     let members: readonly SchedulerMember[] = [];
     let share: SlotShare = wholeShare;
     let poolSlots = 0;
@@ -57,8 +59,13 @@
     // The owners of the other regions count their own slots, so this host keeps off them while its own region serves.
     const reach = (now: number): number => regionServes(now) ? cfg.remoteSlots ?? 0 : Infinity;
 
+    const standByCap = (serverId: string, now: number): number =>
+        share.kind === SlotShareKind.StandBy ? standBy.capOf(serverId, now) : Infinity;
+
     const limitOf = (member: SchedulerMember, now: number): number => {
-        const limit = Math.min(shareOf(member), holdBacks.capOf(member.serverId, now), slowStart.capOf(member.serverId, now));
+        const { serverId } = member;
+        const caps = [holdBacks.capOf(serverId, now), slowStart.capOf(serverId, now), standByCap(serverId, now)];
+        const limit = Math.min(shareOf(member), ...caps);
         return isRemote(member) ? Math.min(limit, reach(now)) : limit;
     };
 
@@ -90,14 +97,9 @@
         return others.length === 0 && wish.allowExcluded ? members : others;
     };
 
-    const hasRoom = (): boolean => ledger.total() < sharedPoolSlots(share, poolSlots);
-
-    const pick = (wish: PickWish, now: number): SchedulerMember | undefined => hasRoom() ? best(eligible(wish), now) : undefined;
+    const pick = (wish: PickWish, now: number): SchedulerMember | undefined => best(eligible(wish), now);
 
-    const grantableSlots = (now: number): number => {
-        const sum = members.reduce((total, member) => total + limitOf(member, now), 0);
-        return Math.min(sum, sharedPoolSlots(share, poolSlots));
-    };
+    const grantableSlots = (now: number): number => members.reduce((total, member) => total + limitOf(member, now), 0);
 
     return {
         setMembers,
--- a/packages/core/src/lib/scheduling/slot-ledger.ts
+++ b/packages/core/src/lib/scheduling/slot-ledger.ts
@@ -13,7 +13,6 @@
     /** Gives the slot back; `undefined` when the attempt holds none, so that a second release changes nothing. */
     release(attemptId: string, now: number): ReleasedSlot | undefined;
     inFlight(serverId: string): number;
-    total(): number;
 }
 
 /** Creates a ledger in which no slot is held. */
@@ -44,5 +43,5 @@
         return { serverId: holder.serverId, heldMs: now - holder.since };
     };
 
-    return { holds: attemptId => holders.has(attemptId), take, release, inFlight, total: () => holders.size };
+    return { holds: attemptId => holders.has(attemptId), take, release, inFlight };
 };
--- a/packages/core/src/lib/scheduling/slot-share.ts
+++ b/packages/core/src/lib/scheduling/slot-share.ts
@@ -16,18 +16,12 @@
 /** The share of an only owner: every slot. */
 export const wholeShare: SlotShare = { kind: SlotShareKind.Owner, ownerIndex: 0, owners: 1 };
 
-/** Slots of one member that a stand-by takes: its owner may still be granting the others. */
-const standBySlots = 1;
-
-/** The part of the pool's slots that a stand-by takes in all. */
-const standByPoolShare = 0.25;
-
-/** The most attempts of this host that one member may have in flight. */
+/**
+ * The most attempts of this host that one member may have in flight.
+ *
+ * A stand-by may come to take all of them, but only step by step: see `createStandByLimits`.
+ */
 export const sharedSlots = (share: SlotShare, serverId: string, slots: number): number =>
     share.kind === SlotShareKind.StandBy
-        ? Math.min(slots, standBySlots)
+        ? slots
         : ownedSlots({ serverId, slots, ownerIndex: share.ownerIndex, owners: share.owners });
-
-/** The most attempts of this host that may be in flight over all members, when these have `slots` in all. */
-export const sharedPoolSlots = (share: SlotShare, slots: number): number =>
-    share.kind === SlotShareKind.StandBy ? Math.max(1, Math.floor(slots * standByPoolShare)) : Infinity;
