--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,4 +1,6 @@
 /** Every proof by name. */
+import { proveConfig } from "./config.js";
+import { proveAtMostOnce } from "./at-most-once.js";
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
@@ -6,6 +8,8 @@
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
+    "config": proveConfig,
+    "at-most-once": proveAtMostOnce,
     "floor": proveFloor,
     "overload": proveOverload,
     "truthful-refusal": proveTruthfulRefusal,
