--- a/packages/ctl/src/lib/reply-result.ts
+++ b/packages/ctl/src/lib/reply-result.ts
@@ -33,6 +33,7 @@
     [StateReplyKind.Unchanged]: unexpected,
     [StateReplyKind.Status]: unexpected,
     [StateReplyKind.History]: unexpected,
+    [StateReplyKind.Enrolled]: unexpected,
 };
 
 /** Renders why each host gave no final answer. */
--- a/packages/ctl/src/lib/state-reply.ts
+++ b/packages/ctl/src/lib/state-reply.ts
@@ -22,6 +22,7 @@
     [StateReplyKind.NotLeader]: z.object({ message }),
     [StateReplyKind.Unavailable]: z.object({ retryAfterMs: z.number(), message }),
     [StateReplyKind.Invalid]: z.object({ message }),
+    [StateReplyKind.Enrolled]: z.object({ firstStart: z.boolean() }),
 };
 
 const kindSchema = z.object({ kind: z.enum(StateReplyKind) });
--- a/packages/demo/src/lib/run-once.ts
+++ b/packages/demo/src/lib/run-once.ts
@@ -6,6 +6,7 @@
 import { startDemoFleet } from "./demo-fleet.js";
 import type { DemoFleet, DemoServer } from "./demo-fleet.js";
 import { demoKinds, Deployment } from "./fleet-plan.js";
+import type { DemoKind } from "./fleet-plan.js";
 
 interface Totals {
     requests: number;
@@ -30,10 +31,12 @@
     return fleet.tables.routes.find(route => kinds.has(route.kind))?.brand ?? brandOf(deployment);
 };
 
-const isAnswered = async (address: string, brand: string, kind: string): Promise<boolean> => {
+const isAnswered = async (address: string, brand: string, kind: DemoKind): Promise<boolean> => {
+    const key = kind.keyed ? { "idempotency-key": crypto.randomUUID() } : {};
     try {
-        const res = await request(`http://${address}/${kind}/ready`, {
-            headers: { "cassiapick-brand": brand, "x-mark": "ready" },
+        const res = await request(`http://${address}/${kind.kind}/ready`, {
+            method: kind.method,
+            headers: { "cassiapick-brand": brand, "x-mark": "ready", ...key },
         });
         await res.body.dump();
         return res.statusCode === 200;
@@ -56,8 +59,8 @@
 /** Waits until each entry host gets reads of every service answered. */
 export const waitUntilReady = async (fleet: DemoFleet): Promise<void> => {
     for (const address of callerAddresses(fleet)) {
-        for (const kind of demoKinds.filter(candidate => !candidate.keyed)) {
-            await waitFor(`${kind.kind} at ${address}`, () => isAnswered(address, brandIn(fleet, kind.deployment), kind.kind));
+        for (const kind of demoKinds) {
+            await waitFor(`${kind.kind} at ${address}`, () => isAnswered(address, brandIn(fleet, kind.deployment), kind));
         }
     }
 };
@@ -91,7 +94,7 @@
         throw new Error(`The edited tables were not applied:\n${applied.output}`);
     }
     for (const address of callerAddresses(fleet)) {
-        await waitFor(`the new brand at ${address}`, () => isAnswered(address, newBrand, "seat-maps"));
+        await waitFor(`the new brand at ${address}`, () => isAnswered(address, newBrand, demoKinds[0]!));
     }
 };
 
--- a/packages/entry/src/lib/tables-watcher.ts
+++ b/packages/entry/src/lib/tables-watcher.ts
@@ -40,6 +40,9 @@
     let next = 0;
     let reachable = true;
 
+    // A function, since another task sets the flag while this one waits.
+    const isStopped = (): boolean => state.stopped;
+
     const take = (reply: StateReply): boolean => {
         if (reply.kind === StateReplyKind.Tables) {
             options.onTables(reply.versioned);
@@ -83,7 +86,7 @@
         let client = pick();
         while (!state.stopped) {
             const isAnswered = client !== undefined && await watch(client, watchMs);
-            if (isAnswered !== reachable && !state.stopped) {
+            if (isAnswered !== reachable && !isStopped()) {
                 reachable = isAnswered;
                 options.onReachable(reachable);
             }
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -4,8 +4,8 @@
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
-import { proveTruthfulRefusal } from "./truthful-refusal.js";
 import { proveRecovery } from "./recovery.js";
+import { proveTruthfulRefusal } from "./truthful-refusal.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
