Hedge, probe and share evidence in the running entry host; keep no idle pools

Ruled out: a slower tick (it delays detection by as much). Change: hedges with the loser cancelled, probes as copies of idempotent requests or OPTIONS, evidence told to the other holders, owner and stand-by shares; a pool without members has no node.

--- a/packages/core/src/lib/entry/entry-messages.ts
+++ b/packages/core/src/lib/entry/entry-messages.ts
@@ -29,17 +29,21 @@
     Membership = "membership",
     Relay = "relay",
     Claim = "claim",
+    Evidence = "evidence",
 }
 
 /** A message between entry hosts. */
 export type FleetMessage =
     | { kind: FleetMessageKind.Membership; message: MembershipMessage; }
     | { kind: FleetMessageKind.Relay; message: RelayMessage; }
-    | { kind: FleetMessageKind.Claim; message: ClaimMessage; };
+    | { kind: FleetMessageKind.Claim; message: ClaimMessage; }
+    /** What the sender itself has seen of a backend server, in thresholds. */
+    | { kind: FleetMessageKind.Evidence; service: string; serverId: string; evidence: number; };
 
 export enum EntryEventKind {
     Request = "request",
     AttemptEnded = "attempt-ended",
+    ProbeEnded = "probe-ended",
     ForwardEnded = "forward-ended",
     CallerGone = "caller-gone",
     Announce = "announce",
@@ -73,6 +77,7 @@
         /** Whether the adapter has begun to pass the answer on, since it was too large to buffer. */
         committed?: boolean;
     }
+    | { kind: EntryEventKind.ProbeEnded; service: string; serverId: string; attemptClass: AttemptClass; durationMs: number; }
     | { kind: EntryEventKind.ForwardEnded; requestId: string; forwardClass: ForwardClass; }
     | { kind: EntryEventKind.CallerGone; requestId: string; }
     | { kind: EntryEventKind.Announce; announcement: Announcement; echo?: ClockEcho; }
@@ -86,6 +91,7 @@
 export enum EntryActionKind {
     Attempt = "attempt",
     CancelAttempt = "cancel-attempt",
+    Probe = "probe",
     Forward = "forward",
     Deliver = "deliver",
     Replay = "replay",
@@ -119,6 +125,8 @@
         idempotent: boolean;
     }
     | { kind: EntryActionKind.CancelAttempt; attemptId: string; }
+    /** Send a copy of an idempotent request, or without one an OPTIONS request, and tell how it ended; the answer is dropped. */
+    | { kind: EntryActionKind.Probe; service: string; serverId: string; host: string; port: number; requestId?: string; }
     /** Pass the request on to another entry host. */
     | {
         kind: EntryActionKind.Forward;
--- a/packages/core/src/lib/entry/entry-node.ts
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -10,12 +10,14 @@
 import { createMembership, MembershipActionKind, MembershipEventKind } from "../membership/membership.js";
 import type { Membership, MembershipAction, MembershipEvent } from "../membership/membership.js";
 import type { Random } from "../random.js";
+import { SlotShareKind, wholeShare } from "../scheduler.js";
 import { compareVersions, formatVersion, noVersion } from "../tables.js";
 import type { Version, VersionedTables } from "../tables.js";
 import { candidatesOf, holdersOf } from "./candidates.js";
 import { createClaimBridge } from "./claim-bridge.js";
 import { EntryActionKind, EntryEventKind, FleetMessageKind, NoteKind } from "./entry-messages.js";
 import type { EntryAction, EntryEvent, FleetMessage } from "./entry-messages.js";
+import type { MemberEvidence, PoolNode } from "./pool-node.js";
 import { createPoolSet } from "./pool-set.js";
 import type { PoolChange, PoolSet } from "./pool-set.js";
 import { createRequestFlow } from "./request-flow.js";
@@ -49,6 +51,8 @@
 
 /** Addresses in one answer to a caller. */
 const maxAddresses = 4;
+/** How long a probe waits for an idempotent request to go along with. */
+const probePatienceMs = 300;
 
 /** Creates one entry host without tables. */
 export const createEntryNode = (cfg: EntryNodeCfg): EntryNode => {
@@ -59,6 +63,7 @@
     const pools = createPoolSet({
         region: self.region,
         availabilityZone: self.availabilityZone,
+        random: cfg.random,
         members: service => directory.members(service, self.region),
     });
     let tables: VersionedTables | undefined;
@@ -73,6 +78,8 @@
             routes: () => routes,
             pools,
             candidates,
+            applyPool: (pool, result, now) => applyPoolChanges([{ pool, result }], now),
+            probe: (pool, requestId) => probe(pool, pool.takeProbe(), requestId),
             wantClaim: (info, now) => claims.want(info, now),
             endClaim: (requestId, end, now) => claims.end(requestId, end, now),
         },
@@ -99,8 +106,38 @@
         changes.flatMap(({ pool, result }) => [
             ...result.notes.map(found => note(found.note, found.serverId, pool.pool().destination)),
             ...flow.applyScheduled(pool, result.scheduled, now),
+            ...result.reports.flatMap(report => reportEvidence(pool, report)),
         ]);
 
+    const reportEvidence = (pool: PoolNode, report: MemberEvidence): EntryAction[] => {
+        const { service } = pool.pool();
+        return holdersOf(service, self.region, membership.usable())
+            .filter(host => host.hostId !== self.hostId)
+            .map(host => send(host.hostId, { kind: FleetMessageKind.Evidence, service, ...report }));
+    };
+
+    const probe = (pool: PoolNode, serverId: string | undefined, requestId?: string): EntryAction[] => {
+        const server = pool.members().find(member => member.id === serverId);
+        const { service } = pool.pool();
+        return server === undefined
+            ? []
+            : [{ kind: EntryActionKind.Probe, service, serverId: server.id, host: server.host, port: server.port, requestId }];
+    };
+
+    /** Probes that no request came along for. */
+    const probeAlone = (now: number): EntryAction[] =>
+        pools.all().flatMap(pool => probe(pool, pool.takeProbe(now - probePatienceMs)));
+
+    /** Every pool learns whether this host owns it. */
+    const refreshShares = (now: number): EntryAction[] => {
+        const hosts = membership.usable();
+        const changes = pools.all().map(pool => {
+            const isOwner = holdersOf(pool.pool().service, self.region, hosts)[0]?.hostId === self.hostId;
+            return { pool, result: pool.setShare(isOwner ? wholeShare : { kind: SlotShareKind.StandBy }, now) };
+        });
+        return applyPoolChanges(changes, now);
+    };
+
     const directoryNotes: Record<DirectoryChangeKind, NoteKind | undefined> = {
         [DirectoryChangeKind.Joined]: NoteKind.ServerJoined,
         [DirectoryChangeKind.Changed]: undefined,
@@ -156,14 +193,16 @@
         return [send(fromHostId, { kind: FleetMessageKind.Relay, message: ack }), ...applyDirectory(changes, now)];
     };
 
-    const applyMembership = (actions: MembershipAction[]): EntryAction[] =>
-        actions.map(action =>
-            action.kind === MembershipActionKind.Send
-                ? send(action.toHostId, { kind: FleetMessageKind.Membership, message: action.message })
-                : note(NoteKind.HostChanged, action.hostId, HostState[action.state])
-        );
+    const applyMembership = (action: MembershipAction): EntryAction =>
+        action.kind === MembershipActionKind.Send
+            ? send(action.toHostId, { kind: FleetMessageKind.Membership, message: action.message })
+            : note(NoteKind.HostChanged, action.hostId, HostState[action.state]);
 
-    const stepMembership = (event: MembershipEvent, now: number): EntryAction[] => applyMembership(membership.step(event, now));
+    const stepMembership = (event: MembershipEvent, now: number): EntryAction[] => {
+        const actions = membership.step(event, now);
+        const isChanged = actions.some(action => action.kind === MembershipActionKind.Changed);
+        return [...actions.map(applyMembership), ...isChanged ? refreshShares(now) : []];
+    };
 
     const onMessage = (fromHostId: string, message: FleetMessage, now: number): EntryAction[] => {
         switch (message.kind) {
@@ -171,6 +210,12 @@
                 return onRelay(fromHostId, message.message, now);
             case FleetMessageKind.Claim:
                 return claims.receive(fromHostId, message.message, now);
+            case FleetMessageKind.Evidence: {
+                const pool = pools.find(message.service);
+                return pool === undefined
+                    ? []
+                    : applyPoolChanges([{ pool, result: pool.remoteEvidence(fromHostId, message, now) }], now);
+            }
             case FleetMessageKind.Membership:
                 return stepMembership({ kind: MembershipEventKind.Message, fromHostId, message: message.message }, now);
         }
@@ -187,12 +232,15 @@
             note(NoteKind.TablesInForce, formatVersion(next.version)),
             ...stepMembership({ kind: MembershipEventKind.Version, version: next.version }, now),
             ...applyPoolChanges(pools.configure(next.tables.pools, now), now),
+            ...refreshShares(now),
         ];
     };
 
     const tick = (now: number): EntryAction[] => [
         ...stepMembership({ kind: MembershipEventKind.Tick }, now),
         ...applyPoolChanges(pools.tick(now), now),
+        ...probeAlone(now),
+        ...flow.tick(now),
         ...claims.tick(now),
     ];
 
@@ -207,6 +255,13 @@
                 return flow.arrive(event.request, now);
             case EntryEventKind.AttemptEnded:
                 return flow.attemptEnded(event, now);
+            case EntryEventKind.ProbeEnded: {
+                const pool = pools.find(event.service);
+                const { serverId, attemptClass, durationMs } = event;
+                return pool === undefined
+                    ? []
+                    : applyPoolChanges([{ pool, result: pool.probeEnded(serverId, attemptClass, durationMs, now) }], now);
+            }
             case EntryEventKind.ForwardEnded:
                 return flow.forwardEnded(event.requestId, event.forwardClass, now);
             case EntryEventKind.CallerGone:
--- a/packages/core/src/lib/entry/pool-node.ts
+++ b/packages/core/src/lib/entry/pool-node.ts
@@ -1,14 +1,15 @@
 /** One pool on the host that owns it: detection, ejection above the floor, slots and retries together. */
 import type { Announcement } from "../backend-server.js";
-import { createDetector, DetectorEventKind } from "../detector.js";
+import { createDetector, DetectorActionKind, DetectorEventKind } from "../detector.js";
 import type { DetectorEvent } from "../detector.js";
 import { computeEffectiveView } from "../effective-view.js";
 import type { EffectiveView } from "../effective-view.js";
 import { AttemptClass } from "../outcome.js";
+import type { Random } from "../random.js";
 import { createRetryPolicy } from "../retry.js";
-import type { AttemptEnd, NextStep } from "../retry.js";
+import type { AttemptEnd, HedgeWish, NextStep } from "../retry.js";
 import { createScheduler, SchedulerEventKind } from "../scheduler.js";
-import type { SchedulerAction } from "../scheduler.js";
+import type { SchedulerAction, SlotShare } from "../scheduler.js";
 import type { Pool } from "../tables.js";
 import { NoteKind } from "./entry-messages.js";
 
@@ -22,6 +23,14 @@
 export interface PoolResult {
     scheduled: SchedulerAction[];
     notes: PoolNote[];
+    /** This host's own evidence, to be told to the other hosts that hold the pool. */
+    reports: MemberEvidence[];
+}
+
+/** Evidence of one host about a member, in thresholds. */
+export interface MemberEvidence {
+    serverId: string;
+    evidence: number;
 }
 
 /** Options of {@link createPoolNode}. */
@@ -29,6 +38,7 @@
     pool: Pool;
     region: string;
     availabilityZone: string;
+    random: Random;
 }
 
 /** A wish for a slot. */
@@ -37,7 +47,10 @@
     brand: string;
     requestKind: string;
     deadlineAt: number;
-    exclude: string[];
+    arrivedAt: number;
+    idempotent: boolean;
+    /** Backend servers that were tried before; none for the first attempt. */
+    tried: string[];
 }
 
 /** One pool. Times are in milliseconds. */
@@ -53,11 +66,22 @@
         now: number,
     ): PoolResult;
     next(end: AttemptEnd): NextStep;
+    /** When a second attempt beside the first is worth its cost; `undefined` when none is. */
+    hedgeAfterMs(requestKind: string): number | undefined;
+    takeHedge(wish: HedgeWish): boolean;
+    /** A member that is to be probed, taken once; with `olderThan`, only one that has waited since then. */
+    takeProbe(olderThan?: number): string | undefined;
+    probeEnded(serverId: string, attemptClass: AttemptClass, durationMs: number, now: number): PoolResult;
+    remoteEvidence(host: string, evidence: MemberEvidence, now: number): PoolResult;
+    /** The role of this host for the pool. */
+    setShare(share: SlotShare, now: number): PoolResult;
     cancelQueued(attemptId: string, now: number): PoolResult;
     setMembers(members: Announcement[], now: number): PoolResult;
     setPool(pool: Pool, now: number): PoolResult;
     tick(now: number): PoolResult;
     memberCount(): number;
+    /** Whether it has neither members nor requests. */
+    isIdle(): boolean;
     members(): Announcement[];
     view(): EffectiveView;
     floorSlots(): number;
@@ -71,15 +95,20 @@
 const queueLimit = 256;
 const defaultShedPauseMs = 200;
 
+const nothing: PoolResult = { scheduled: [], notes: [], reports: [] };
+
 /** Creates the node of one pool, without members. */
 export const createPoolNode = (cfg: PoolNodeCfg): PoolNode => {
     let pool = cfg.pool;
     let members: Announcement[] = [];
     let view: EffectiveView = { healthy: [], keptByFloor: [], ejected: [] };
-    const detector = createDetector({ mode: pool.detection });
+    const detector = createDetector({ mode: pool.detection, random: cfg.random });
     const scheduler = createScheduler({ region: cfg.region, availabilityZone: cfg.availabilityZone, queueLimit });
     const retries = createRetryPolicy({ maxAttempts });
 
+    const startedAt = new Map<string, { requestKind: string; at: number; }>();
+    const wantedProbes = new Map<string, number>();
+
     const floorSlots = (): number => {
         const announced = members.reduce((sum, member) => sum + member.slots, 0);
         return Math.ceil(announced * pool.floorShare);
@@ -113,35 +142,60 @@
             serverId: member.id,
             region: member.region,
             availabilityZone: member.availabilityZone,
-            slots: member.slots,
+            // During probation a member gets part of its slots, and never less than one.
+            slots: Math.max(1, Math.round(member.slots * detector.weight(member.id))),
             cold: member.cold,
             keptByFloor: kept.has(member.id),
         }));
         return {
             scheduled: scheduler.step({ kind: SchedulerEventKind.Members, members: usable }, now),
             notes: compareViews(before, view),
+            reports: [],
         };
     };
 
     const detect = (event: DetectorEvent, now: number): PoolResult => {
         const actions = detector.step(event, now);
-        return actions.length > 0 ? refresh(now) : { scheduled: [], notes: [] };
+        const reports: MemberEvidence[] = [];
+        let changed = false;
+        for (const action of actions) {
+            switch (action.kind) {
+                case DetectorActionKind.Changed:
+                    changed = true;
+                    break;
+                case DetectorActionKind.Probe:
+                    wantedProbes.set(action.serverId, now);
+                    break;
+                case DetectorActionKind.Report:
+                    reports.push({ serverId: action.serverId, evidence: action.evidence });
+                    break;
+            }
+        }
+        return changed ? { ...refresh(now), reports } : { ...nothing, reports };
     };
 
     const join = (...results: PoolResult[]): PoolResult => ({
         scheduled: results.flatMap(result => result.scheduled),
         notes: results.flatMap(result => result.notes),
+        reports: results.flatMap(result => result.reports),
     });
 
-    const onlySchedule = (scheduled: SchedulerAction[]): PoolResult => ({ scheduled, notes: [] });
+    const onlySchedule = (scheduled: SchedulerAction[]): PoolResult => ({ ...nothing, scheduled });
 
     const ended: PoolNode["ended"] = (attemptId, serverId, attemptClass, retryAfterMs, now) => {
         const detected = detect({ kind: DetectorEventKind.Finished, attemptId, outcome: attemptClass }, now);
-        const shed = attemptClass === AttemptClass.Shed
-            ? scheduler.step({ kind: SchedulerEventKind.Shed, serverId, retryAfterMs: retryAfterMs ?? defaultShedPauseMs }, now)
-            : [];
-        const released = scheduler.step({ kind: SchedulerEventKind.Release, attemptId }, now);
-        return join(detected, onlySchedule(shed), onlySchedule(released));
+        const started = startedAt.get(attemptId);
+        startedAt.delete(attemptId);
+        if (started !== undefined && attemptClass === AttemptClass.Success) {
+            retries.onAttemptTime(started.requestKind, now - started.at);
+        }
+        const freed = attemptClass === AttemptClass.Shed
+            ? scheduler.step(
+                { kind: SchedulerEventKind.Shed, serverId, retryAfterMs: retryAfterMs ?? defaultShedPauseMs, attemptId },
+                now,
+            )
+            : scheduler.step({ kind: SchedulerEventKind.Release, attemptId }, now);
+        return join(detected, onlySchedule(freed));
     };
 
     const setMembers = (next: Announcement[], now: number): PoolResult => {
@@ -150,9 +204,15 @@
         members = next;
         const results: PoolResult[] = [];
         for (const member of next) {
-            if (before.get(member.id)?.incarnation !== member.incarnation) {
+            const known = before.get(member.id);
+            if (known?.incarnation !== member.incarnation || known.cold !== member.cold) {
                 results.push(
-                    detect({ kind: DetectorEventKind.Joined, serverId: member.id, incarnation: member.incarnation }, now),
+                    detect({
+                        kind: DetectorEventKind.Joined,
+                        serverId: member.id,
+                        incarnation: member.incarnation,
+                        cold: member.cold,
+                    }, now),
                 );
             }
         }
@@ -164,16 +224,39 @@
         return join(...results, refresh(now));
     };
 
+    const takeProbe = (olderThan = Infinity): string | undefined => {
+        for (const [serverId, since] of wantedProbes) {
+            if (since <= olderThan) {
+                wantedProbes.delete(serverId);
+                return serverId;
+            }
+        }
+        return undefined;
+    };
+
     return {
         submit: (wish, now) => {
-            retries.onRequest(now);
-            const { attemptId, brand, deadlineAt, exclude } = wish;
-            return onlySchedule(scheduler.step({ kind: SchedulerEventKind.Submit, attemptId, brand, deadlineAt, exclude }, now));
+            if (wish.tried.length === 0) {
+                retries.onRequest(now);
+            }
+            const { attemptId, brand, deadlineAt, arrivedAt, tried, idempotent } = wish;
+            const submit = { attemptId, brand, deadlineAt, arrivedAt, exclude: tried, allowExcluded: idempotent };
+            return onlySchedule(scheduler.step({ kind: SchedulerEventKind.Submit, ...submit }, now));
+        },
+        started: (attemptId, serverId, requestKind, now) => {
+            startedAt.set(attemptId, { requestKind, at: now });
+            return detect({ kind: DetectorEventKind.Started, attemptId, serverId, requestKind }, now);
         },
-        started: (attemptId, serverId, requestKind, now) =>
-            detect({ kind: DetectorEventKind.Started, attemptId, serverId, requestKind }, now),
         ended,
         next: end => retries.onAttemptEnd(end),
+        hedgeAfterMs: requestKind => retries.hedgeAfterMs(requestKind),
+        takeHedge: wish => retries.takeHedge(wish),
+        takeProbe,
+        probeEnded: (serverId, outcome, durationMs, now) =>
+            detect({ kind: DetectorEventKind.ProbeFinished, serverId, outcome, durationMs }, now),
+        remoteEvidence: (host, { serverId, evidence }, now) =>
+            detect({ kind: DetectorEventKind.RemoteEvidence, host, serverId, evidence }, now),
+        setShare: (share, now) => onlySchedule(scheduler.step({ kind: SchedulerEventKind.Share, share }, now)),
         cancelQueued: (attemptId, now) => onlySchedule(scheduler.step({ kind: SchedulerEventKind.Cancel, attemptId }, now)),
         setMembers,
         setPool: (next, now) => {
@@ -186,6 +269,7 @@
                 onlySchedule(scheduler.step({ kind: SchedulerEventKind.Tick }, now)),
             ),
         memberCount: () => members.length,
+        isIdle: () => members.length === 0 && startedAt.size === 0 && scheduler.queued() === 0,
         members: () => members,
         view: () => view,
         floorSlots,
--- a/packages/core/src/lib/entry/request-book.ts
+++ b/packages/core/src/lib/entry/request-book.ts
@@ -19,6 +19,9 @@
     claimed: boolean;
     /** Whether the caller went away. */
     abandoned: boolean;
+    arrivedAt: number;
+    /** When a second attempt beside the first is worth its cost. */
+    hedgeAt?: number;
 }
 
 /** Whether the request must run at most once however often it is sent. */
@@ -28,6 +31,7 @@
 export interface OpenAttempt {
     attemptId: string;
     requestId: string;
+    service: string;
     /** `undefined` while it waits for a slot. */
     serverId?: string;
 }
@@ -37,10 +41,12 @@
     open(request: OpenRequest): void;
     find(requestId: string): OpenRequest | undefined;
     close(requestId: string): void;
-    addAttempt(requestId: string): OpenAttempt;
+    addAttempt(request: OpenRequest): OpenAttempt;
     findAttempt(attemptId: string): OpenAttempt | undefined;
     removeAttempt(attemptId: string): void;
     attemptsOf(requestId: string): OpenAttempt[];
+    /** Requests for which a second attempt is due. */
+    hedgesDue(now: number): OpenRequest[];
     size(): number;
 }
 
@@ -48,15 +54,33 @@
 export const createRequestBook = (): RequestBook => {
     const requests = new Map<string, OpenRequest>();
     const attempts = new Map<string, OpenAttempt>();
+    const byRequest = new Map<string, OpenAttempt[]>();
     let nextAttempt = 1;
 
-    const addAttempt = (requestId: string): OpenAttempt => {
-        const attempt: OpenAttempt = { attemptId: `${requestId}/${nextAttempt}`, requestId };
+    const addAttempt = ({ info, service }: OpenRequest): OpenAttempt => {
+        const { requestId } = info;
+        const attempt: OpenAttempt = { attemptId: `${requestId}/${nextAttempt}`, requestId, service };
         nextAttempt += 1;
         attempts.set(attempt.attemptId, attempt);
+        byRequest.set(requestId, [...byRequest.get(requestId) ?? [], attempt]);
         return attempt;
     };
 
+    const removeAttempt = (attemptId: string): void => {
+        const attempt = attempts.get(attemptId);
+        if (attempt === undefined) {
+            return;
+        }
+        attempts.delete(attemptId);
+        const left = (byRequest.get(attempt.requestId) ?? []).filter(other => other !== attempt);
+        if (left.length > 0) {
+            byRequest.set(attempt.requestId, left);
+        }
+        else {
+            byRequest.delete(attempt.requestId);
+        }
+    };
+
     return {
         open: request => {
             requests.set(request.info.requestId, request);
@@ -67,10 +91,9 @@
         },
         addAttempt,
         findAttempt: attemptId => attempts.get(attemptId),
-        removeAttempt: attemptId => {
-            attempts.delete(attemptId);
-        },
-        attemptsOf: requestId => [...attempts.values()].filter(attempt => attempt.requestId === requestId),
+        removeAttempt,
+        attemptsOf: requestId => byRequest.get(requestId) ?? [],
+        hedgesDue: now => [...requests.values()].filter(request => request.hedgeAt !== undefined && request.hedgeAt <= now),
         size: () => requests.size,
     };
 };
--- a/packages/core/src/lib/entry/request-flow.ts
+++ b/packages/core/src/lib/entry/request-flow.ts
@@ -1,5 +1,4 @@
 /** The way of a request through one entry host: serve here, pass on, try again, answer. */
-import type { HostInfo } from "../membership/host-record.js";
 import { AttemptClass, Outcome } from "../outcome.js";
 import type { Refusal } from "../outcome.js";
 import { NextStepKind } from "../retry.js";
@@ -7,6 +6,7 @@
 import type { SchedulerAction } from "../scheduler.js";
 import { EntryActionKind, ForwardClass } from "./entry-messages.js";
 import type { EntryAction, EntryEvent, EntryEventKind, RequestInfo, StoredAnswer } from "./entry-messages.js";
+import { chooseHost, forwardTo, HostChoiceKind } from "./host-choice.js";
 import type { PoolNode } from "./pool-node.js";
 import { callerWentAway, noRoute, noServers, notScheduled, refusedByAll, truthful } from "./refusals.js";
 import { createRequestBook, isKeyed } from "./request-book.js";
@@ -31,12 +31,11 @@
     claimSettled(requestId: string): boolean;
     /** Applies what a pool's scheduler decided. */
     applyScheduled(pool: PoolNode, actions: SchedulerAction[], now: number): EntryAction[];
+    /** Starts the second attempts that are due. */
+    tick(now: number): EntryAction[];
     open(): number;
 }
 
-/** Times that a request may be passed from host to host. */
-const maxHops = 3;
-
 /** Creates the flow of one host, without requests. */
 export const createRequestFlow = (cfg: RequestFlowCfg): RequestFlow => {
     const { hostId, ports } = cfg;
@@ -57,12 +56,13 @@
             book.removeAttempt(attempt.attemptId);
             const ended = pool.ended(attempt.attemptId, serverId, AttemptClass.Cancelled, undefined, now);
             const again = request === undefined ? [] : submit(request, pool, now);
-            return [...applyScheduled(pool, ended.scheduled, now), ...again];
+            return [...ports.applyPool(pool, ended, now), ...again];
         }
         attempt.serverId = serverId;
         request.attempts += 1;
         request.tried.push(serverId);
         const started = pool.started(attempt.attemptId, serverId, request.info.kind, now);
+        request.hedgeAt = hedgeTime(request, pool, now);
         return [
             {
                 kind: EntryActionKind.Attempt,
@@ -74,7 +74,8 @@
                 deadlineAt: request.info.deadlineAt,
                 idempotent: request.idempotent,
             },
-            ...applyScheduled(pool, started.scheduled, now),
+            ...request.idempotent ? ports.probe(pool, request.info.requestId) : [],
+            ...ports.applyPool(pool, started, now),
         ];
     };
 
@@ -85,7 +86,8 @@
     ): EntryAction[] => {
         const request = book.find(attempt.requestId);
         book.removeAttempt(attempt.attemptId);
-        if (request === undefined) {
+        // A hedge that gets no slot ends nothing while the first attempt goes on.
+        if (request === undefined || book.attemptsOf(attempt.requestId).length > 0) {
             return [];
         }
         return refuse(request, truthful(request, notScheduled(request.service, action.reason, action.retryAfterMs)), now);
@@ -103,47 +105,33 @@
         });
 
     const submit = (request: OpenRequest, pool: PoolNode, now: number): EntryAction[] => {
-        const attempt = book.addAttempt(request.info.requestId);
+        const { attemptId } = book.addAttempt(request);
         const { brand, kind, deadlineAt } = request.info;
-        const wish = { attemptId: attempt.attemptId, brand, requestKind: kind, deadlineAt, exclude: request.tried };
-        return applyScheduled(pool, pool.submit(wish, now).scheduled, now);
+        const { arrivedAt, idempotent, tried } = request;
+        const wish = { attemptId, brand, requestKind: kind, deadlineAt, arrivedAt, idempotent, tried: [...tried] };
+        return ports.applyPool(pool, pool.submit(wish, now), now);
     };
 
     const serveHere = (request: OpenRequest, pool: PoolNode, now: number): EntryAction[] => {
         return isKeyed(request) ? ports.wantClaim(request.info, now) : submit(request, pool, now);
     };
 
-    const forward = (request: OpenRequest, to: HostInfo): EntryAction => {
-        request.forwardedTo.push(to.hostId);
-        return {
-            kind: EntryActionKind.Forward,
-            requestId: request.info.requestId,
-            hostId: to.hostId,
-            host: to.callerHost,
-            port: to.callerPort,
-            deadlineAt: request.info.deadlineAt,
-            visited: [...request.info.visited, hostId],
-        };
-    };
-
     const route = (request: OpenRequest, now: number): EntryAction[] => {
         const pool = ports.pools.find(request.service);
-        const canServe = pool !== undefined && pool.memberCount() > 0;
-        const isPassedOn = request.info.visited.length > 0;
-        if (canServe && isPassedOn) {
-            return serveHere(request, pool, now);
-        }
-        const visited = new Set([...request.info.visited, ...request.forwardedTo]);
-        const next = ports.candidates(request.service).find(host =>
-            !visited.has(host.hostId) && (host.hostId !== hostId || canServe)
-        );
-        if (canServe && (next === undefined || next.hostId === hostId)) {
-            return serveHere(request, pool, now);
-        }
-        if (next === undefined || visited.size >= maxHops) {
-            return refuse(request, truthful(request, noServers(request.service)), now);
+        const choice = chooseHost(request, {
+            hostId,
+            canServe: (pool?.memberCount() ?? 0) > 0,
+            candidates: ports.candidates(request.service),
+        });
+        switch (choice.kind) {
+            case HostChoiceKind.Here:
+                return serveHere(request, pool!, now);
+            case HostChoiceKind.Nobody:
+                return refuse(request, truthful(request, noServers(request.service)), now);
+            case HostChoiceKind.There:
+                request.forwardedTo.push(choice.host.hostId);
+                return [forwardTo(request, hostId, choice.host)];
         }
-        return [forward(request, next)];
     };
 
     const arrive = (info: RequestInfo, now: number): EntryAction[] => {
@@ -162,16 +150,42 @@
             forwardedTo: [],
             claimed: false,
             abandoned: false,
+            arrivedAt: now,
         };
         book.open(request);
         return route(request, now);
     };
 
+    /** Ends the attempts that lost against another one of the same request. */
+    const cancelAttempts = (requestId: string, now: number): EntryAction[] =>
+        book.attemptsOf(requestId).flatMap(attempt => {
+            if (attempt.serverId !== undefined) {
+                return [{ kind: EntryActionKind.CancelAttempt, attemptId: attempt.attemptId }];
+            }
+            const pool = ports.pools.find(attempt.service);
+            book.removeAttempt(attempt.attemptId);
+            return pool === undefined ? [] : ports.applyPool(pool, pool.cancelQueued(attempt.attemptId, now), now);
+        });
+
+    const hedgeTime = (request: OpenRequest, pool: PoolNode, now: number): number | undefined => {
+        const afterMs = request.idempotent && request.attempts === 1 ? pool.hedgeAfterMs(request.info.kind) : undefined;
+        return afterMs === undefined ? undefined : now + afterMs;
+    };
+
+    const hedge = (request: OpenRequest, now: number): EntryAction[] => {
+        request.hedgeAt = undefined;
+        const pool = ports.pools.find(request.service);
+        const { idempotent, attempts, info } = request;
+        const wish = { requestKind: info.kind, idempotent, attempts, now, deadlineAt: info.deadlineAt };
+        const isWanted = pool !== undefined && !request.abandoned && book.attemptsOf(info.requestId).length === 1;
+        return isWanted && pool.takeHedge(wish) ? submit(request, pool, now) : [];
+    };
+
     const deliver = (request: OpenRequest, attemptId: string, answer: StoredAnswer | undefined, now: number): EntryAction[] => {
         const { requestId } = request.info;
         book.close(requestId);
         const claim = request.claimed ? ports.endClaim(requestId, { kind: "completed", answer }, now) : [];
-        return [{ kind: EntryActionKind.Deliver, requestId, attemptId }, ...claim];
+        return [{ kind: EntryActionKind.Deliver, requestId, attemptId }, ...claim, ...cancelAttempts(requestId, now)];
     };
 
     /** Ends a request whose answer the adapter had already begun to pass on. */
@@ -193,19 +207,18 @@
     const attemptEnded: RequestFlow["attemptEnded"] = (event, now) => {
         const attempt = book.findAttempt(event.attemptId);
         const request = attempt === undefined ? undefined : book.find(attempt.requestId);
-        const pool = request === undefined ? undefined : ports.pools.find(request.service);
         if (attempt?.serverId === undefined) {
             return [];
         }
         book.removeAttempt(attempt.attemptId);
-        const owner = pool ?? ports.pools.holding(attempt.serverId);
+        const owner = ports.pools.find(attempt.service);
         const ended = owner?.ended(attempt.attemptId, attempt.serverId, event.attemptClass, event.retryAfterMs, now);
-        const freed = owner === undefined ? [] : applyScheduled(owner, ended?.scheduled ?? [], now);
+        const freed = owner === undefined || ended === undefined ? [] : ports.applyPool(owner, ended, now);
         if (request === undefined) {
             return freed;
         }
         if (event.committed === true) {
-            return [...close(request, event.attemptClass, now), ...freed];
+            return [...close(request, event.attemptClass, now), ...cancelAttempts(request.info.requestId, now), ...freed];
         }
         request.mayHaveRun ||= event.attemptClass !== AttemptClass.Shed && event.attemptClass !== AttemptClass.NotSent;
         return [...afterAttempt(request, owner, event, now), ...freed];
@@ -217,6 +230,11 @@
         event: Extract<EntryEvent, { kind: EntryEventKind.AttemptEnded; }>,
         now: number,
     ): EntryAction[] => {
+        const { requestId } = request.info;
+        const isAloneLeft = book.attemptsOf(requestId).length === 0;
+        if (!isAloneLeft && event.attemptClass !== AttemptClass.Success) {
+            return [];
+        }
         if (pool === undefined || request.abandoned) {
             return event.attemptClass === AttemptClass.Success
                 ? deliver(request, event.attemptId, event.answer, now)
@@ -230,6 +248,7 @@
             mayHaveRun,
             now,
             deadlineAt: request.info.deadlineAt,
+            requestKind: request.info.kind,
         });
         switch (next.kind) {
             case NextStepKind.Deliver:
@@ -268,10 +287,8 @@
             const pool = ports.pools.find(request.service);
             if (attempt.serverId === undefined) {
                 book.removeAttempt(attempt.attemptId);
-                actions.push(
-                    ...(pool === undefined ? [] : applyScheduled(pool, pool.cancelQueued(attempt.attemptId, now).scheduled, now)),
-                );
-                actions.push(...refuse(request, callerWentAway, now));
+                actions.push(...pool === undefined ? [] : ports.applyPool(pool, pool.cancelQueued(attempt.attemptId, now), now));
+                actions.push(...refuse(request, truthful(request, callerWentAway), now));
             }
             else if (request.idempotent) {
                 actions.push({ kind: EntryActionKind.CancelAttempt, attemptId: attempt.attemptId });
@@ -306,6 +323,7 @@
         claimGranted,
         claimSettled,
         applyScheduled,
+        tick: now => book.hedgesDue(now).flatMap(request => hedge(request, now)),
         open: () => book.size(),
     };
 };
--- a/packages/entry/src/lib/attempt-runner.ts
+++ b/packages/entry/src/lib/attempt-runner.ts
@@ -8,6 +8,7 @@
 import type { OpenCaller } from "./open-caller.js";
 
 type AttemptAction = Extract<EntryAction, { kind: EntryActionKind.Attempt; }>;
+type ProbeAction = Extract<EntryAction, { kind: EntryActionKind.Probe; }>;
 type ForwardAction = Extract<EntryAction, { kind: EntryActionKind.Forward; }>;
 
 /** Options of {@link createAttemptRunner}. */
@@ -30,6 +31,8 @@
 export interface AttemptRunner {
     attempt(action: AttemptAction, caller: OpenCaller): void;
     forward(action: ForwardAction, caller: OpenCaller): void;
+    /** Sends a copy of the caller's idempotent request, or an OPTIONS request, and drops the answer. */
+    probe(action: ProbeAction, caller: OpenCaller | undefined): void;
     cancel(attemptId: string): void;
     /** The whole answer of an attempt; it is kept until it is taken or the request ends. */
     take(attemptId: string): ExchangeResult | undefined;
@@ -40,6 +43,11 @@
 
 const firstServerError = 500;
 const msPerSecond = 1000;
+const probeTimeoutMs = 2000;
+const noBody = Buffer.alloc(0);
+
+/** Takes the part of a probe's answer that is not worth keeping. */
+const dropSink: AnswerSink = { begin: () => undefined, write: () => true };
 
 const classByEnd: Readonly<Record<Exclude<ExchangeEnd, ExchangeEnd.Whole>, AttemptClass>> = {
     [ExchangeEnd.NotSent]: AttemptClass.NotSent,
@@ -183,6 +191,34 @@
         });
     };
 
+    const probe = (action: ProbeAction, caller: OpenCaller | undefined): void => {
+        const startedAt = options.now();
+        const name = `probe/${startedAt}`;
+        const exchange = startExchange({
+            dispatcher: clients.fresh,
+            origin: `http://${action.host}:${action.port}`,
+            path: caller?.path ?? `/${action.service}`,
+            method: caller?.info.method ?? "OPTIONS",
+            headers: {
+                ...caller?.headers,
+                ...caller === undefined ? {} : { [fleetHeaders.brand]: caller.info.brand },
+                [fleetHeaders.attempt]: name,
+                [fleetHeaders.deadline]: String(probeTimeoutMs),
+            },
+            body: caller?.body ?? noBody,
+            timeoutMs: probeTimeoutMs,
+            reset: true,
+            bufferBytes: options.bufferBytes,
+            sink: dropSink,
+            acceptHead: head => [undefined, name].includes(firstValue(head.headers[fleetHeaders.attempt])),
+        });
+        void exchange.result.then(result => {
+            const { service, serverId } = action;
+            const durationMs = options.now() - startedAt;
+            options.emit({ kind: EntryEventKind.ProbeEnded, service, serverId, attemptClass: classify(result), durationMs });
+        });
+    };
+
     const take = (attemptId: string): ExchangeResult | undefined => {
         const result = answers.get(attemptId);
         answers.delete(attemptId);
@@ -197,5 +233,13 @@
         }
     };
 
-    return { attempt, forward, cancel: attemptId => running.get(attemptId)?.cancel(), take, forget, running: () => running.size };
+    return {
+        attempt,
+        forward,
+        probe,
+        cancel: attemptId => running.get(attemptId)?.cancel(),
+        take,
+        forget,
+        running: () => running.size,
+    };
 };
--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -182,6 +182,8 @@
                 runner.forward(action, caller);
             }
         },
+        [EntryActionKind.Probe]: action =>
+            runner.probe(action, action.requestId === undefined ? undefined : book.find(action.requestId)),
         [EntryActionKind.CancelAttempt]: action => runner.cancel(action.attemptId),
         [EntryActionKind.Deliver]: action => {
             book.deliver(action.requestId, runner.take(action.attemptId));
