Refuse a data folder whose votes are lost even when its log holds no entries

Ruled out: counting it as harmless only because a host with an empty folder comes back as a lost disk (a folder that was in use should be looked at by a person). Change: only a log that has nothing after its header counts as new; the proof takes a folder that counts as empty for what it is, a lost disk.

--- a/packages/proofs/src/lib/recovery.ts
+++ b/packages/proofs/src/lib/recovery.ts
@@ -20,6 +20,8 @@
 
 interface Opened {
     stored: StoredState;
+    /** Whether the folder counts as empty; the host then comes back as one that lost its disk, which proof 'config' covers. */
+    wasEmpty?: boolean;
     write(actions: readonly WriteAction[]): Promise<void>;
 }
 
@@ -130,7 +132,8 @@
 const damageViolation = async (script: RecoveryScript, random: Random, open: Open): Promise<string | undefined> => {
     const files = await filesOf(script, open);
     const last = textOf(script.states.at(-1)!);
-    const isHarmless = (found: Opened | undefined): boolean => found === undefined || textOf(found.stored) === last;
+    const isHarmless = (found: Opened | undefined): boolean =>
+        found === undefined || found.wasEmpty === true || textOf(found.stored) === last;
     for (const [name, content] of files) {
         const without = new Map(files);
         without.delete(name);
--- a/packages/state/src/lib/data-folder.ts
+++ b/packages/state/src/lib/data-folder.ts
@@ -66,6 +66,8 @@
     entries: LogEntry[];
     soundBytes: number;
     end: RecordsEnd;
+    /** Whether nothing was ever written after the header. */
+    isNew: boolean;
     /** Whether a record is missing that was never at risk of being torn. */
     isCut: boolean;
 }
@@ -87,7 +89,7 @@
         }
     }
     const isCut = header.hasEntries && batches.length === 0;
-    return { header, entries, soundBytes: scan.soundBytes, end: scan.end, isCut };
+    return { header, entries, soundBytes: scan.soundBytes, end: scan.end, isNew: batches.length === 0, isCut };
 };
 
 /** The single value of a file that is always replaced as a whole. */
@@ -176,7 +178,7 @@
     const snapshotContent = await disk.read(snapshotFile);
     const log = logContent === undefined ? undefined : readLog(logContent);
     if (hardStateContent === undefined) {
-        const isEmpty = snapshotContent === undefined && (log === undefined || log.entries.length === 0);
+        const isEmpty = snapshotContent === undefined && (log === undefined || log.isNew);
         return isEmpty ? create() : lost(hardStateFile);
     }
     if (logContent === undefined) {
