--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,12 +1,18 @@
 /** Every proof by name. */
+import { proveAtMostOnce } from "./at-most-once.js";
 import { proveConfig } from "./config.js";
 import { proveFloor } from "./floor.js";
+import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
 import { proveRecovery } from "./recovery.js";
+import { proveTruthfulRefusal } from "./truthful-refusal.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
     "config": proveConfig,
+    "at-most-once": proveAtMostOnce,
     "floor": proveFloor,
+    "overload": proveOverload,
+    "truthful-refusal": proveTruthfulRefusal,
     "recovery": proveRecovery,
 };
