--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,9 +2,11 @@
 import { measureClaims } from "./claims.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
+import { measureRestart } from "./restart.js";
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
     "overload": measureOverload,
     "claims": measureClaims,
+    "restart": measureRestart,
 };
--- a/packages/proofs/src/lib/config-contender.ts
+++ b/packages/proofs/src/lib/config-contender.ts
@@ -25,6 +25,9 @@
 /** Short times, so that a case sees many elections. */
 const timing: StateTiming = { heartbeatMs: 10, electionMs: 60, requestMs: 400 };
 
+/** The share of lost disks whose host still has the flag of the first start. */
+const flagLeftShare = 0.5;
+
 /** What a host does after one event, in order. */
 export type HostAction =
     | { kind: "write"; run: () => void; }
@@ -68,10 +71,12 @@
 
 /** The state hosts of cassiapick on a disk that syncs each write before the next action. */
 export const createOwnDisk: CreateDisk = (hostId, hostIds, snapshotEvery) => {
-    let stored: StoredState | undefined = { hardState: { incarnation: firstIncarnation, founding: true, term: 0 }, entries: [] };
+    const firstStart: HardState = { incarnation: firstIncarnation, founding: true, term: 0 };
+    let stored: StoredState | undefined = { hardState: firstStart, entries: [] };
 
     const start = (random: Random): HostProcess => {
-        const lostDisk = (): HardState => ({ incarnation: drawIncarnation(random), founding: false, term: 0 });
+        const lostDisk = (): HardState =>
+            random.next() < flagLeftShare ? firstStart : { incarnation: drawIncarnation(random), founding: false, term: 0 };
         stored ??= { hardState: lostDisk(), entries: [] };
         const node = createStateNode({ hostId, hostIds, stored, random, wallClock: () => 0, snapshotEvery, timing });
 
--- a/packages/state/src/lib/launch.ts
+++ b/packages/state/src/lib/launch.ts
@@ -25,6 +25,8 @@
     hostIds: readonly string[];
     ports: readonly number[];
     token: string;
+    /** The data folder of a host. */
+    dataDir(hostId: string): string;
     start(hostId: string, flags?: readonly string[]): Promise<void>;
     signal(hostId: string, signal: NodeJS.Signals): void;
     /** Resolves with the exit code once the process has ended. */
@@ -159,6 +161,7 @@
         hostIds,
         ports,
         token,
+        dataDir,
         start,
         signal: (hostId, signal) => {
             children.get(hostId)?.kill(signal);
