Ask failures to exceed the others' rate, and prove and measure detection

Change: failures of late must also lie 2.5 (Prompt) or 4 (Careful) standard deviations above what the others' rate makes likely. The proof `detection` and the measurement `detection`. Members, rates and contrast have their own files.

--- a/packages/core/src/lib/detection/contrast.ts
+++ b/packages/core/src/lib/detection/contrast.ts
@@ -8,6 +8,10 @@
     roundTripMs: number;
     /** Attempts sent to it of late. */
     recent: number;
+    /** Attempts that ended of late, well or failed. */
+    ended: number;
+    /** Attempts that failed of late. */
+    failed: number;
 }
 
 const farRoundTripMs = 10;
@@ -47,3 +51,15 @@
     const items = others.map(other => ({ value: other.evidence.peak(test, now), weight: other.recent }));
     return member.evidence.value(test) - othersFactor * weightedMedian(items);
 };
+
+// Keeps the others' rate above 0 and below 1 while few attempts have ended.
+const priorFailed = 0.5;
+const priorEnded = 10;
+
+/** How many standard deviations the member's failures of late lie above what the others' rate makes likely. */
+export const failureExcess = (member: Contrasted, others: Contrasted[]): number => {
+    const failed = others.reduce((sum, other) => sum + other.failed, priorFailed);
+    const ended = others.reduce((sum, other) => sum + other.ended, priorEnded);
+    const rate = failed / ended;
+    return (member.failed - member.ended * rate) / Math.sqrt(member.ended * rate * (1 - rate));
+};
--- a/packages/core/src/lib/detection/policy.ts
+++ b/packages/core/src/lib/detection/policy.ts
@@ -11,6 +11,8 @@
     probationShare: number;
     /** An attempt is in the tail when its time exceeds the peers' typical time by this many scales. */
     tailScales: number;
+    /** Standard deviations by which failures of late must exceed what the other members' rate makes likely. */
+    failureScales: number;
     /** A pause that a well member may take, for example to collect garbage, in milliseconds. */
     pauseMs: number;
     /** Answers of other members that must have gone well meanwhile, so that the whole pool's trouble blames nobody. */
@@ -32,6 +34,7 @@
         slowThreshold: 9.5,
         probationShare: 0.7,
         tailScales: 2.5,
+        failureScales: 2.5,
         pauseMs: 100,
         peerAnswers: 3,
         backoffMs: 2_000,
@@ -44,6 +47,7 @@
         slowThreshold: 22,
         probationShare: 0.8,
         tailScales: 3,
+        failureScales: 4,
         pauseMs: 200,
         peerAnswers: 6,
         backoffMs: 5_000,
--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -2,24 +2,17 @@
 import { AttemptClass } from "../outcome.js";
 import { latenessLevels, levelsPassed } from "./attempts.js";
 import type { Attempt } from "./attempts.js";
-import { createBadRates } from "./bad-rate.js";
-import type { BadRates } from "./bad-rate.js";
-import { comparableMembers, contrast, isSameDistance } from "./contrast.js";
+import { comparableMembers, contrast, failureExcess, isSameDistance } from "./contrast.js";
 import { createLatencyReferences } from "./latency-reference.js";
 import type { LatencyReference } from "./latency-reference.js";
-import { createMemberEvidence, Test, tests } from "./member-evidence.js";
-import type { MemberEvidence } from "./member-evidence.js";
+import { Test, tests } from "./member-evidence.js";
 import type { DetectionPolicy } from "./policy.js";
+import { createPoolMember, refreshMember } from "./pool-member.js";
+import type { MemberTraits, PoolMember } from "./pool-member.js";
+import { createRateBook } from "./rate-book.js";
+import type { RateTest } from "./rate-book.js";
 import { bernoulliEvidence, shiftEvidence } from "./sequential-test.js";
 
-/** What is known of a member besides its requests. */
-export interface MemberTraits {
-    /** Whether it has just started and is expected to be slow. */
-    cold: boolean;
-    /** The usual time of a round trip to it, in milliseconds; it is taken off each time. */
-    roundTripMs: number;
-}
-
 /** Options of {@link createPoolEvidence}. */
 export interface PoolEvidenceCfg {
     policy: DetectionPolicy;
@@ -51,14 +44,7 @@
     members(): string[];
 }
 
-const usualFailureRate = 0.005;
-const usualTailRate = 0.01;
-const rateSamples = 20;
-const rateDecayMs = 5_000;
-const usualNextLevelRate = 0.2;
 const illNextLevelRate = 0.8;
-const levelSamples = 8;
-const levelDecayMs = 60_000;
 const illAddedRates = { [Test.Failure]: 0.25, [Test.Tail]: 0.4 };
 const maxIllRate = 0.95;
 const brokenAnswerEvidence = 1;
@@ -69,19 +55,8 @@
 const minServiceMs = 1;
 // Below this share of a threshold a contrast is not worth its time.
 const scoreFloor = 0.25;
-const recentMs = 2_000;
 const wellAttempts = 8;
 
-interface Member extends MemberTraits {
-    evidence: MemberEvidence;
-    lastWellAt: number;
-    /** Attempts started of late; they decay. */
-    recent: number;
-    refreshedAt: number;
-    /** Attempts answered well of late; they decay. */
-    well: number;
-}
-
 const failures: ReadonlySet<AttemptClass> = new Set([
     AttemptClass.ServerError,
     AttemptClass.NotSent,
@@ -90,64 +65,30 @@
     AttemptClass.Timeout,
 ]);
 
-const illRateOf = (test: Test.Failure | Test.Tail, wellRate: number): number =>
-    Math.min(maxIllRate, wellRate + illAddedRates[test]);
+const illRateOf = (test: RateTest, wellRate: number): number => Math.min(maxIllRate, wellRate + illAddedRates[test]);
 
 /** Creates the evidence of one pool. */
 export const createPoolEvidence = (cfg: PoolEvidenceCfg): PoolEvidence => {
     const { policy } = cfg;
-    const members = new Map<string, Member>();
+    const members = new Map<string, PoolMember>();
     const attempts = new Map<string, Attempt>();
     const isComparable = (a: string, b: string): boolean => {
         const [first, second] = [members.get(a), members.get(b)];
         return first !== undefined && second !== undefined && isSameDistance(first, second);
     };
     const references = createLatencyReferences({ isTrusted: cfg.isTrusted, isComparable });
-    const rates: Record<Test.Failure | Test.Tail, Map<string, BadRates>> = {
-        [Test.Failure]: new Map(),
-        [Test.Tail]: new Map(),
-    };
-    const usualRates = { [Test.Failure]: usualFailureRate, [Test.Tail]: usualTailRate };
-    // How often an attempt that passed one level of lateness passes the next: in a pool with a heavy tail, often.
-    const levelRates = Array.from({ length: latenessLevels }, () =>
-        createBadRates({
-            usualRate: usualNextLevelRate,
-            priorSamples: levelSamples,
-            decayMs: levelDecayMs,
-            isTrusted: cfg.isTrusted,
-        }));
+    const rates = createRateBook(cfg.isTrusted);
     const wellAnswers: { serverId: string; startedAt: number; }[] = [];
 
     const join = (serverId: string, traits: MemberTraits): void => {
-        const member = members.get(serverId) ?? {
-            ...traits,
-            evidence: createMemberEvidence(policy),
-            lastWellAt: 0,
-            recent: 0,
-            refreshedAt: 0,
-            well: 0,
-        };
+        const member = members.get(serverId) ?? createPoolMember(traits, policy);
         members.set(serverId, Object.assign(member, traits));
     };
 
-    const ratesOf = (test: Test.Failure | Test.Tail, requestKind: string): BadRates => {
-        const found = rates[test].get(requestKind) ?? createBadRates({
-            usualRate: usualRates[test],
-            priorSamples: rateSamples,
-            decayMs: rateDecayMs,
-            isTrusted: cfg.isTrusted,
-        });
-        rates[test].set(requestKind, found);
-        return found;
-    };
-
     const remove = (serverId: string): void => {
         members.delete(serverId);
         references.remove(serverId);
-        for (const byKind of [rates[Test.Failure], rates[Test.Tail]]) {
-            byKind.forEach(item => item.remove(serverId));
-        }
-        levelRates.forEach(item => item.remove(serverId));
+        rates.remove(serverId);
         for (const [attemptId, attempt] of attempts) {
             if (attempt.serverId === serverId) {
                 attempts.delete(attemptId);
@@ -155,24 +96,17 @@
         }
     };
 
-    const refresh = (member: Member, now: number): void => {
-        const kept = Math.exp((member.refreshedAt - now) / recentMs);
-        member.recent *= kept;
-        member.well *= kept;
-        member.refreshedAt = now;
-    };
-
     const started = (attemptId: string, serverId: string, requestKind: string, now: number): void => {
         if (!members.has(serverId)) {
             join(serverId, { cold: false, roundTripMs: 0 });
         }
         const member = members.get(serverId)!;
-        refresh(member, now);
+        refreshMember(member, now);
         member.recent += 1;
         attempts.set(attemptId, { serverId, requestKind, startedAt: now, levelsCounted: 0, cold: member.cold });
     };
 
-    const logTime = (attempt: Attempt, member: Member, now: number): number =>
+    const logTime = (attempt: Attempt, member: PoolMember, now: number): number =>
         Math.log(Math.max(minServiceMs, now - attempt.startedAt - member.roundTripMs));
 
     const tailLog = (reference: LatencyReference, attempt: Attempt): number => {
@@ -181,22 +115,22 @@
         return Math.max(relative, absolute) + (attempt.cold ? coldAddedLog : 0);
     };
 
-    const countRate = (test: Test.Failure | Test.Tail, bad: boolean, attempt: Attempt, member: Member, now: number): void => {
-        const rate = ratesOf(test, attempt.requestKind);
+    const countRate = (test: RateTest, bad: boolean, attempt: Attempt, member: PoolMember, now: number): void => {
+        const rate = rates.of(test, attempt.requestKind);
         const wellRate = rate.others(attempt.serverId);
         member.evidence.add(test, bernoulliEvidence(bad, wellRate, illRateOf(test, wellRate)), attempt.startedAt, now);
         rate.add(attempt.serverId, bad, now);
     };
 
-    const countLevel = (level: number, passed: boolean, attempt: Attempt, member: Member, now: number): void => {
-        const rate = levelRates[level]!;
+    const countLevel = (level: number, passed: boolean, attempt: Attempt, member: PoolMember, now: number): void => {
+        const rate = rates.ofLevel(level);
         const wellRate = rate.others(attempt.serverId);
         const illRate = Math.max(illNextLevelRate, wellRate);
         member.evidence.add(Test.Tail, bernoulliEvidence(passed, wellRate, illRate), attempt.startedAt, now);
         rate.add(attempt.serverId, passed, now);
     };
 
-    const countLateness = (attempt: Attempt, member: Member, passed: number, now: number): void => {
+    const countLateness = (attempt: Attempt, member: PoolMember, passed: number, now: number): void => {
         if (attempt.levelsCounted === 0 && passed > 0) {
             countRate(Test.Tail, true, attempt, member, now);
         }
@@ -206,7 +140,7 @@
         attempt.levelsCounted = Math.max(attempt.levelsCounted, passed);
     };
 
-    const checkLateness = (attempt: Attempt, member: Member, now: number): LatencyReference | undefined => {
+    const checkLateness = (attempt: Attempt, member: PoolMember, now: number): LatencyReference | undefined => {
         const reference = references.others(attempt.serverId, attempt.requestKind, now);
         if (reference !== undefined) {
             countLateness(attempt, member, levelsPassed(logTime(attempt, member, now), tailLog(reference, attempt)), now);
@@ -214,11 +148,13 @@
         return reference;
     };
 
-    const countSuccess = (attempt: Attempt, member: Member, reference: LatencyReference | undefined, now: number): void => {
+    const countSuccess = (attempt: Attempt, member: PoolMember, reference: LatencyReference | undefined, now: number): void => {
         const logMs = logTime(attempt, member, now);
         if (!attempt.cold) {
             references.add(attempt.serverId, attempt.requestKind, logMs, now);
         }
+        refreshMember(member, now);
+        member.ended += 1;
         countRate(Test.Failure, false, attempt, member, now);
         if (reference === undefined) {
             return;
@@ -234,7 +170,7 @@
             member.evidence.add(Test.Shift, shiftEvidence(ratio, reference.scale), attempt.startedAt, now);
         }
         if (ratio < wellLog) {
-            refresh(member, now);
+            refreshMember(member, now);
             member.well += 1;
             member.lastWellAt = now;
             wellAnswers.push({ serverId: attempt.serverId, startedAt: attempt.startedAt });
@@ -242,7 +178,10 @@
         }
     };
 
-    const countFailure = (attempt: Attempt, member: Member, outcome: AttemptClass, now: number): void => {
+    const countFailure = (attempt: Attempt, member: PoolMember, outcome: AttemptClass, now: number): void => {
+        refreshMember(member, now);
+        member.ended += 1;
+        member.failed += 1;
         countRate(Test.Failure, true, attempt, member, now);
         if (outcome === AttemptClass.Cut || outcome === AttemptClass.Corrupt) {
             member.evidence.add(Test.Failure, brokenAnswerEvidence, attempt.startedAt, now);
@@ -284,22 +223,25 @@
 
     // Slowness must be contrasted with what others answered after the slow attempt began; failures can follow each
     // other so fast that only the run as a whole can be contrasted.
-    const contrastFrom = (member: Member, test: Test): number | undefined =>
+    const contrastFrom = (member: PoolMember, test: Test): number | undefined =>
         test === Test.Failure ? member.evidence.firstBadStartedAt(test) : member.evidence.lastBadStartedAt(test);
 
-    const comparable = (serverId: string, member: Member, now: number): Member[] => {
+    const comparable = (serverId: string, member: PoolMember, now: number): PoolMember[] => {
         const others = [...members].filter(([id]) => id !== serverId && cfg.isTrusted(id)).map(([, other]) => other);
-        [member, ...others].forEach(each => refresh(each, now));
+        [member, ...others].forEach(each => refreshMember(each, now));
         return comparableMembers(member, others);
     };
 
-    const testScore = (serverId: string, member: Member, test: Test, now: number): number => {
+    const testScore = (serverId: string, member: PoolMember, test: Test, now: number): number => {
         const since = contrastFrom(member, test);
         if (since === undefined || !peersAnswered(serverId, since)) {
             return 0;
         }
         const others = comparable(serverId, member, now);
-        return others.length === 0 ? 0 : contrast(member, others, test, now);
+        if (others.length === 0 || (test === Test.Failure && !(failureExcess(member, others) >= policy.failureScales))) {
+            return 0;
+        }
+        return contrast(member, others, test, now);
     };
 
     const score = (serverId: string, now: number): number => {
@@ -335,7 +277,7 @@
         isKnownWell: (serverId, now) => {
             const member = members.get(serverId);
             if (member !== undefined) {
-                refresh(member, now);
+                refreshMember(member, now);
             }
             return member !== undefined && member.well >= wellAttempts;
         },
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,8 +1,10 @@
 /** Every measurement by name. */
+import { measureDetection } from "./detection.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
+    "detection": measureDetection,
     "overload": measureOverload,
 };
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -1,4 +1,7 @@
 /** Differential proofs of the promises against the naive versions. */
+export * from "./lib/detection-faults.js";
+export * from "./lib/detection-pool.js";
+export * from "./lib/detection-times.js";
 export * from "./lib/overload-fakes.js";
 export * from "./lib/overload-timeline.js";
 export * from "./lib/proof.js";
--- a/packages/proofs/src/lib/detection-pool.ts
+++ b/packages/proofs/src/lib/detection-pool.ts
@@ -21,6 +21,8 @@
     warmUpMs: number;
     /** Time after the warm-up. */
     runMs: number;
+    /** Ends the run this long after the first member's owner suspects it. */
+    stopAfterMs?: number;
 }
 
 /** A member became suspected on a host. */
@@ -57,6 +59,7 @@
 const reportMs = 20;
 const restartEveryMs = 20_000;
 const coldMs = 5_000;
+const sliceMs = 100;
 
 interface FakeMember {
     id: string;
@@ -281,6 +284,14 @@
     if (cfg.trouble === Trouble.ColdStart) {
         queue.at(cfg.warmUpMs, restart);
     }
-    queue.runUntil(cfg.warmUpMs + cfg.runMs);
+    const stopAfterMs = cfg.stopAfterMs ?? Infinity;
+    const isDone = (): boolean => {
+        const found = result.ejections.find(seen => seen.at >= 0 && seen.host === 0 && seen.member === 0);
+        return found !== undefined && queue.now() >= cfg.warmUpMs + found.at + stopAfterMs;
+    };
+    const end = cfg.warmUpMs + cfg.runMs;
+    while (queue.now() < end && !isDone()) {
+        queue.runUntil(Math.min(end, queue.now() + sliceMs));
+    }
     return result;
 };
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,6 +1,7 @@
 /** Every proof by name. */
-import { proveConfig } from "./config.js";
 import { proveAtMostOnce } from "./at-most-once.js";
+import { proveConfig } from "./config.js";
+import { proveDetection } from "./detection.js";
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
@@ -10,6 +11,7 @@
 export const proofs: Readonly<Record<string, Proof>> = {
     "config": proveConfig,
     "at-most-once": proveAtMostOnce,
+    "detection": proveDetection,
     "floor": proveFloor,
     "overload": proveOverload,
     "truthful-refusal": proveTruthfulRefusal,
