Take a member off once when several hosts suspect it

Ruled out: merging at the callers; each of them would have to remember it. Change: the view merges suspicions by member and takes the strongest. Conclusion: a fault mended.

--- a/packages/core/src/lib/effective-view.ts
+++ b/packages/core/src/lib/effective-view.ts
@@ -35,6 +35,17 @@
 
 const worstFirst = (a: Suspicion, b: Suspicion): number => b.evidence - a.evidence || (a.serverId < b.serverId ? -1 : 1);
 
+// Several hosts may suspect one member; its capacity must be taken off once, by the strongest evidence.
+const strongestOfEach = (suspicions: Suspicion[]): Suspicion[] => {
+    const strongest = new Map<string, Suspicion>();
+    for (const suspicion of suspicions) {
+        if (suspicion.evidence > (strongest.get(suspicion.serverId)?.evidence ?? -Infinity)) {
+            strongest.set(suspicion.serverId, suspicion);
+        }
+    }
+    return [...strongest.values()];
+};
+
 /**
  * Ejects the worst members first and stops before the slots that remain fall below the floor.
  *
@@ -42,7 +53,7 @@
  */
 export const computeEffectiveView = (input: EffectiveViewInput): EffectiveView => {
     const members = new Map(input.members.map(member => [member.serverId, member]));
-    const suspected = input.suspicions.filter(suspicion => members.has(suspicion.serverId)).sort(worstFirst);
+    const suspected = strongestOfEach(input.suspicions).filter(each => members.has(each.serverId)).sort(worstFirst);
     const suspectedIds = new Set(suspected.map(suspicion => suspicion.serverId));
     const capacityOf = (serverId: string): number => {
         const member = members.get(serverId);
