--- a/packages/baseline/src/lib/naive-claims.ts
+++ b/packages/baseline/src/lib/naive-claims.ts
@@ -58,5 +58,5 @@
         }
     };
 
-    return { step, keys: () => records.size };
+    return { step, keys: () => records.size, missing: () => [] };
 };
--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -25,6 +25,8 @@
     firstStart(): void;
     /** Whether the replica may vote on a key: it knows all that an earlier process may have voted for. */
     mayVote(claimId: string, now: number): boolean;
+    /** Hosts that have sent nothing yet; none where nothing is needed. */
+    missing(now: number): string[];
     /** The third replicas for which this host may answer the catch-up of `hostId`; `undefined` for all. */
     vouchedFor(hostId: string, now: number): string[] | undefined;
     page(page: CatchUpPage, fromHostId: string, now: number): Addressed[];
@@ -187,6 +189,11 @@
         }
     };
 
+    const missing = (now: number): string[] => {
+        const silent = [...sources].filter(([, source]) => !source.complete && source.vouchedFor.size === 0);
+        return isClean(now) ? [] : silent.map(([hostId]) => hostId);
+    };
+
     const incarnationUsed = (highest: number, now: number): Addressed[] => {
         if (highest <= incarnation) {
             return [];
@@ -219,6 +226,7 @@
             clean = true;
         },
         mayVote,
+        missing,
         vouchedFor,
         page,
         restart,
--- a/packages/core/src/lib/claims/claim-contract.ts
+++ b/packages/core/src/lib/claims/claim-contract.ts
@@ -119,4 +119,6 @@
     step(event: ClaimEvent, now: number): ClaimAction[];
     /** Keys that this replica keeps. */
     keys(): number;
+    /** Hosts whose records this replica still waits for after a restart; a planned restart of another host waits for none. */
+    missing(now: number): string[];
 }
