Back off from silent replicas and widen the proof to small fleets whose list changes

Cause: with one replica down, each booking's answer was sent to it ten times a second for two minutes, and each restarted host asked it ten times a second for its records; fifty bookings a second would have meant tens of thousands of messages.

Ruled out: giving up sooner, which loses answers that a short cut would have let through.

Keys have at most 256 characters. A claim node tells how many settlements are open, for a graceful stop. The proof gets a seventh mix: a few hosts whose list changes while they restart, freeze and hear each other one way.

--- a/packages/baseline/src/lib/naive-claims.ts
+++ b/packages/baseline/src/lib/naive-claims.ts
@@ -58,5 +58,5 @@
         }
     };
 
-    return { step, keys: () => records.size, missing: () => [] };
+    return { step, keys: () => records.size, missing: () => [], unsettled: () => 0 };
 };
--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -47,10 +47,12 @@
     /** The third replicas that it has vouched for. */
     vouchedFor: Set<string>;
     askedAt: number;
+    /** Grows while nothing comes back, so that a host that stays away costs little. */
+    pauseMs: number;
 }
 
-/** Pauses between two questions to a host that has answered, but could not vouch for everything. */
-const idlePauses = 10;
+/** The longest pause between two questions, in times of sending again. */
+const maxPauses = 10;
 
 /** Creates the catch-up of a process that has just started. */
 export const createCatchUp = (cfg: CatchUpCfg): CatchUp => {
@@ -108,6 +110,7 @@
 
     const ask = (hostId: string, source: Source, now: number): Addressed => {
         source.askedAt = now;
+        source.pauseMs = Math.min(source.pauseMs * 2, cfg.limits.resendMs * maxPauses);
         const rosterVersion = membership?.roster.version ?? 0;
         const { session, cursor, vouchedFor: { size: vouched } } = source;
         return { hostId, message: { kind: ClaimMessageKind.CatchUp, rosterVersion, incarnation, session, cursor, vouched } };
@@ -118,7 +121,14 @@
         for (const list of first.lists) {
             listsAtStart.add(list.id);
             for (const hostId of list.hostIds.filter(other => other !== cfg.hostId)) {
-                sources.set(hostId, { session: undefined, cursor: 0, complete: false, vouchedFor: new Set(), askedAt: now });
+                sources.set(hostId, {
+                    session: undefined,
+                    cursor: 0,
+                    complete: false,
+                    vouchedFor: new Set(),
+                    askedAt: now,
+                    pauseMs: cfg.limits.resendMs / 2,
+                });
             }
         }
     };
@@ -156,6 +166,7 @@
             return [];
         }
         learn(fromHostId, received);
+        source.pauseMs = cfg.limits.resendMs;
         for (const record of received.records) {
             cfg.store.merge(record, now);
         }
@@ -204,10 +215,7 @@
     };
 
     /** A source that could not vouch for everything is asked again: it may have caught up since. */
-    const isDue = (source: Source, now: number): boolean => {
-        const pauses = source.vouchedFor.size > 0 && source.session === undefined ? idlePauses : 1;
-        return !source.complete && now - source.askedAt >= cfg.limits.resendMs * pauses;
-    };
+    const isDue = (source: Source, now: number): boolean => !source.complete && now - source.askedAt >= source.pauseMs;
 
     const tick = (now: number): Addressed[] => {
         if (membership === undefined || isClean(now)) {
--- a/packages/core/src/lib/claims/claim-contract.ts
+++ b/packages/core/src/lib/claims/claim-contract.ts
@@ -121,4 +121,6 @@
     keys(): number;
     /** Hosts whose records this replica still waits for after a restart; a planned restart of another host waits for none. */
     missing(now: number): string[];
+    /** Answers and releases that some replica has not confirmed; a graceful stop waits for them for a while. */
+    unsettled(): number;
 }
--- a/packages/core/src/lib/claims/claim-node.ts
+++ b/packages/core/src/lib/claims/claim-node.ts
@@ -134,5 +134,5 @@
         return deliverOwn(handle(event, now), now);
     };
 
-    return { step, keys: () => store.size(), missing: now => catchUp.missing(now) };
+    return { step, keys: () => store.size(), missing: now => catchUp.missing(now), unsettled: () => coordinator.unsettled() };
 };
--- a/packages/core/src/lib/claims/claim-refusals.ts
+++ b/packages/core/src/lib/claims/claim-refusals.ts
@@ -3,6 +3,9 @@
 import type { Refusal } from "../outcome.js";
 import { TallyKind } from "./tally.js";
 
+/** The longest key that is taken, in characters: replicas keep every key for a horizon. */
+export const maxKeyLength = 256;
+
 /** The ways in which a claim is refused. */
 export type RefusedKind = TallyKind.AnswerDropped | TallyKind.KeyMismatch | TallyKind.AlreadyStarted | TallyKind.NoMajority;
 
@@ -50,3 +53,10 @@
     outcome: neverRan ? Outcome.NotRun : Outcome.Unknown,
     message: "The deadline passed before the key was recorded, so the request was not run this time. Allow more time.",
 });
+
+/** The refusal of a key that no replica keeps. */
+export const keyTooLongRefusal: Refusal = {
+    kind: RefusalKind.BadRequest,
+    outcome: Outcome.NotRun,
+    message: `The idempotency key has more than ${maxKeyLength} characters. Send a shorter one.`,
+};
--- a/packages/core/src/lib/claims/claim-store.ts
+++ b/packages/core/src/lib/claims/claim-store.ts
@@ -33,8 +33,9 @@
 /** Turns a record into what another replica is told. */
 export const shareRecord = (record: ClaimRecord, now: number): SharedRecord => ({
     claimId: record.claimId,
-    holders: record.holders,
-    released: record.released,
+    // Copies: the record goes on changing while a message waits to be sent.
+    holders: [...record.holders],
+    released: [...record.released],
     finished: record.finished,
     ageMs: now - record.since,
 });
--- a/packages/core/src/lib/claims/coordinator.ts
+++ b/packages/core/src/lib/claims/coordinator.ts
@@ -4,7 +4,7 @@
 import type { ClaimAction, ClaimLimits, ClaimWanted } from "./claim-contract.js";
 import { ClaimMessageKind } from "./claim-message.js";
 import type { ClaimAnswer, ClaimMessage, ClaimReply } from "./claim-message.js";
-import { deadlineRefusal, refusalOf } from "./claim-refusals.js";
+import { deadlineRefusal, keyTooLongRefusal, maxKeyLength, refusalOf } from "./claim-refusals.js";
 import { answerBytes } from "./claim-store.js";
 import type { Membership } from "./roster.js";
 import { createSettlements } from "./settlements.js";
@@ -30,6 +30,8 @@
     /** Starts the claims that are not granted yet again, under the new roster. */
     rosterChanged(membership: Membership, now: number): ClaimAction[];
     tick(now: number): ClaimAction[];
+    /** Settlements that wait for a replica. */
+    unsettled(): number;
 }
 
 interface Attempt {
@@ -104,6 +106,9 @@
     };
 
     const want = (wanted: ClaimWanted, membership: Membership | undefined, now: number): ClaimAction[] => {
+        if (wanted.key.length > maxKeyLength) {
+            return [{ kind: ClaimActionKind.Refused, requestId: wanted.requestId, refusal: keyTooLongRefusal }];
+        }
         if (membership === undefined || membership.roster.hosts.length === 0) {
             return [refuse(wanted, TallyKind.NoMajority)];
         }
@@ -205,5 +210,6 @@
         settled: (attemptId, fromHostId) => settlements.confirm(attemptId, fromHostId),
         rosterChanged,
         tick,
+        unsettled: () => settlements.size(),
     };
 };
--- a/packages/core/src/lib/claims/roster.ts
+++ b/packages/core/src/lib/claims/roster.ts
@@ -120,5 +120,6 @@
     const lists = [roster.hosts, ...(roster.earlier ?? [])].map(createHostList);
     const setsOf = (claimId: string): string[][] => lists.map(list => list.replicasOf(claimId));
     const replicasOf = (claimId: string): string[] => [...new Set(setsOf(claimId).flat())];
+
     return { roster, lists, setsOf, replicasOf };
 };
--- a/packages/core/src/test/claim-node_test.ts
+++ b/packages/core/src/test/claim-node_test.ts
@@ -192,6 +192,33 @@
         expect(fleet.refusals[0]?.message).to.contain("no longer kept");
     });
 
+    it("refuses a key that is too long to keep", () => {
+        const fleet = createFleet();
+        fleet.want("a1", "1", "f", "k".repeat(257));
+        expect(fleet.heard).to.deep.equal([RefusalKind.BadRequest]);
+    });
+
+    it("is settled once every replica has confirmed the answer", () => {
+        const fleet = createFleet();
+        fleet.unreachable.add("b1");
+        fleet.want("a1", "1");
+        fleet.finish("a1", "1");
+        expect(fleet.nodes.get("a1")!.unsettled()).to.equal(1);
+        fleet.unreachable.clear();
+        fleet.pass(1000);
+        expect(fleet.nodes.get("a1")!.unsettled()).to.equal(0);
+    });
+
+    it("names the hosts that it waits for after a restart", () => {
+        const fleet = createFleet();
+        fleet.unreachable.add("a2");
+        fleet.start("a1", false);
+        expect(fleet.nodes.get("a1")!.missing(1)).to.deep.equal(["a2"]);
+        fleet.unreachable.clear();
+        fleet.pass(1000);
+        expect(fleet.nodes.get("a1")!.missing(1001)).to.deep.equal([]);
+    });
+
     it("refuses rather than forgets when it is full", () => {
         const fleet = createFleet({ maxKeys: 1 });
         fleet.want("a1", "1");
--- a/packages/proofs/src/lib/at-most-once-plan.ts
+++ b/packages/proofs/src/lib/at-most-once-plan.ts
@@ -15,6 +15,8 @@
     HorizonEdge = "horizon-edge",
     /** A few hosts that restart within milliseconds again and again, while claims and votes are on their way. */
     QuickRestarts = "quick-restarts",
+    /** Few hosts whose list changes while they restart, freeze, and hear each other one way. */
+    SmallRosters = "small-rosters",
 }
 
 /** A stretch of time in which something is wrong. */
@@ -209,6 +211,24 @@
             mendedAt: undefined,
         };
     },
+    [FaultMix.SmallRosters]: random => {
+        const base = drawers[FaultMix.QuickRestarts](random);
+        const hosts = drawHosts(3 + joiningHosts + random.below(2));
+        return {
+            ...base,
+            mix: FaultMix.SmallRosters,
+            hosts,
+            horizonMs: 4000,
+            claimTimeoutMs: 400,
+            keys: 80,
+            lossShare: random.next() * 0.3,
+            cuts: drawCuts(random, hosts, random.below(5)),
+            crashes: drawHostSpans(random, hosts, random.below(10), 300),
+            freezes: drawHostSpans(random, hosts, random.below(8), 3000),
+            rosterChanges: drawRosterChanges(random, hosts, 2 + random.below(5)),
+            stateOutages: several(random.below(2), () => drawSpan(random, 3000)),
+        };
+    },
 };
 
 /** Draws a case of the given kind. */
