--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -14,6 +14,7 @@
 import { createReplicatedLog } from "./replicated-log.js";
 import { createReplication } from "./replication.js";
 import { createRequestDesk } from "./request-desk.js";
+import { decisionReply } from "./request-replies.js";
 import { createWatchers } from "./watchers.js";
 
 const defaultSnapshotEvery = 256;
@@ -50,17 +51,23 @@
     const ctx: NodeContext = createNodeContext(cfg, log, machine, () => actions);
     // Until these are committed or replaced, the applied tables may be older than before the start.
     let uncertainIndex = log.lastIndex();
+    let caughtUp = false;
 
     const leads = (): boolean => ctx.role === StateRole.Leader && !leaving;
     const isCaughtUp = (): boolean => {
         uncertainIndex = Math.min(uncertainIndex, log.lastIndex());
-        return ctx.commitIndex >= uncertainIndex;
+        // A host that lost its disk knows as much as before once its return among the voters is committed.
+        caughtUp ||= ctx.commitIndex >= uncertainIndex && log.voters(ctx.commitIndex)[ctx.hostId] === ctx.hard.incarnation;
+        return caughtUp;
     };
 
     const applyEntry = (entry: LogEntry): void => {
         ctx.appliedIndex = entry.index;
         if (entry.body.kind === EntryKind.Change) {
-            desk.decided(entry.index, ctx.machine.apply(entry.body.change));
+            desk.decided(entry.index, decisionReply(ctx.machine.apply(entry.body.change)));
+        }
+        if (entry.body.kind === EntryKind.Enroll) {
+            desk.decided(entry.index, { kind: StateReplyKind.Enrolled, ...ctx.machine.enroll(entry.body.enrollment) });
         }
     };
 
@@ -164,6 +171,7 @@
     const onRequest: { [P in StateRequestKind]: (requestId: number, request: Extract<StateRequest, { kind: P; }>) => void; } = {
         [StateRequestKind.Apply]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Read]: (requestId, request) => desk.submit({ requestId }, request),
+        [StateRequestKind.Enroll]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Watch]: (requestId, request) => watchers.add(requestId, request),
         [StateRequestKind.Status]: requestId => ctx.reply(requestId, { kind: StateReplyKind.Status, status: status() }),
         [StateRequestKind.History]: (requestId, request) =>
--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -9,6 +9,7 @@
 import type { Scheduler, SchedulerAction, SchedulerCfg, SchedulerEvent } from "./scheduling/scheduler-contract.js";
 import { createSlotLedger } from "./scheduling/slot-ledger.js";
 import { createSlowStart } from "./scheduling/slow-start.js";
+import { createStandByLimits } from "./scheduling/stand-by-limit.js";
 import { createWaitEstimate } from "./scheduling/wait-estimate.js";
 
 export * from "./scheduling/scheduler-contract.js";
@@ -21,7 +22,7 @@
 const defaultMaxWaitMs = 500;
 const defaultSlowStartStepMs = 1000;
 
-/** The share of the time to its deadline that an attempt may wait; the rest is for serving it, or for asking elsewhere. */
+/** The share of its time after which a request no longer waits for a slot; the rest is for serving it, or for asking elsewhere. */
 const waitShare = 0.5;
 
 const minRetryAfterMs = 50;
@@ -37,7 +38,8 @@
     const ledger = createSlotLedger();
     const holdBacks = createHoldBacks();
     const slowStart = createSlowStart(cfg.slowStartStepMs ?? defaultSlowStartStepMs);
-    const picker = createPicker({ cfg, ledger, holdBacks, slowStart });
+    const standBy = createStandByLimits();
+    const picker = createPicker({ cfg, ledger, holdBacks, slowStart, standBy });
     const queue = createFairQueue(cfg.queueLimit);
     const estimate = createWaitEstimate();
     const queuedIds = new Set<string>();
@@ -67,9 +69,9 @@
         return { kind: SchedulerActionKind.Grant, attemptId, serverId };
     };
 
-    const refuseIf = (isUnwanted: (waiting: Waiting) => boolean, now: number): SchedulerAction[] => {
+    const refuseAll = (removed: Waiting[], now: number): SchedulerAction[] => {
         const reason = picker.isEmpty() ? RefusalKind.NoServers : RefusalKind.NoCapacity;
-        return queue.removeIf(isUnwanted).map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
+        return removed.map(waiting => refuse(waiting.attemptId, waiting.brand, reason, now));
     };
 
     const grantWaiting = (now: number): SchedulerAction[] => {
@@ -83,7 +85,7 @@
 
     // The expired go first, so that no slot is spent on a caller who is about to give up.
     const drain = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => waiting.refuseAt <= now, now),
+        ...refuseAll(queue.expire(now), now),
         ...grantWaiting(now),
     ];
 
@@ -99,9 +101,11 @@
     };
 
     const waitingOf = (event: EventOf<SchedulerEventKind.Submit>, now: number): Waiting => {
-        const maxWaitMs = Math.min(cfg.maxWaitMs ?? defaultMaxWaitMs, (event.deadlineAt - now) * waitShare);
-        const { attemptId, brand, exclude, allowExcluded } = event;
-        return { attemptId, brand, refuseAt: now + maxWaitMs, exclude, allowExcluded: allowExcluded ?? false };
+        const { attemptId, brand, exclude, allowExcluded, deadlineAt } = event;
+        const arrivedAt = event.arrivedAt ?? now;
+        const latestAt = arrivedAt + (deadlineAt - arrivedAt) * waitShare;
+        const refuseAt = Math.min(now + (cfg.maxWaitMs ?? defaultMaxWaitMs), latestAt);
+        return { attemptId, brand, refuseAt, exclude, allowExcluded: allowExcluded ?? false };
     };
 
     const submit = (event: EventOf<SchedulerEventKind.Submit>, now: number): SchedulerAction[] => {
@@ -127,12 +131,13 @@
         const released = ledger.release(attemptId, now);
         if (released !== undefined) {
             estimate.learn(released.heldMs);
+            standBy.ended(released.serverId, now);
         }
     };
 
     // Nobody waits for members that are gone.
     const refuseUnservable = (now: number): SchedulerAction[] => [
-        ...refuseIf(waiting => !picker.canServe(waiting), now),
+        ...refuseAll(queue.removeIf(waiting => !picker.canServe(waiting)), now),
         ...drain(now),
     ];
 
@@ -151,6 +156,7 @@
             ledger.release(attemptId, now);
         }
         const othersInFlight = Math.max(0, ledger.inFlight(serverId) - (isStillHeld ? 1 : 0));
+        standBy.shed(serverId, now);
         holdBacks.shed(serverId, { retryAfterMs, othersInFlight, now });
         return drain(now);
     };
