Bound waits more tightly while the queue stands

Change: once a queue was not empty for 4 s, and until it is empty for 200 ms, new requests wait 100 ms at most.

--- a/packages/core/src/lib/scheduler.ts
+++ b/packages/core/src/lib/scheduler.ts
@@ -10,6 +10,7 @@
 import { createSlotLedger } from "./scheduling/slot-ledger.js";
 import { createSlowStart } from "./scheduling/slow-start.js";
 import { createStandByLimits } from "./scheduling/stand-by-limit.js";
+import { createStandingQueue } from "./scheduling/standing-queue.js";
 import { createWaitEstimate } from "./scheduling/wait-estimate.js";
 
 export * from "./scheduling/scheduler-contract.js";
@@ -20,6 +21,10 @@
 type RefuseReason = Extract<SchedulerAction, { kind: SchedulerActionKind.Refuse; }>["reason"];
 
 const defaultMaxWaitMs = 500;
+
+/** The longest wait while the queue stands: waiting longer then serves nobody more, only later. */
+const standingMaxWaitMs = 100;
+
 const defaultSlowStartStepMs = 1000;
 
 /** The share of its time after which a request no longer waits for a slot; the rest is for serving it, or for asking elsewhere. */
@@ -43,6 +48,7 @@
     const queue = createFairQueue(cfg.queueLimit);
     const estimate = createWaitEstimate();
     const queuedIds = new Set<string>();
+    const standing = createStandingQueue();
 
     const expectedWaitMs = (brand: string, now: number): number => {
         const slots = picker.grantableSlots(now);
@@ -100,11 +106,16 @@
         return isFull || now + expectedWaitMs(event.brand, now) > waiting.refuseAt ? RefusalKind.NoCapacity : undefined;
     };
 
+    const maxWaitMs = (): number => {
+        const longest = cfg.maxWaitMs ?? defaultMaxWaitMs;
+        return standing.stands() ? Math.min(standingMaxWaitMs, longest) : longest;
+    };
+
     const waitingOf = (event: EventOf<SchedulerEventKind.Submit>, now: number): Waiting => {
         const { attemptId, brand, exclude, allowExcluded, deadlineAt } = event;
         const arrivedAt = event.arrivedAt ?? now;
         const latestAt = arrivedAt + (deadlineAt - arrivedAt) * waitShare;
-        const refuseAt = Math.min(now + (cfg.maxWaitMs ?? defaultMaxWaitMs), latestAt);
+        const refuseAt = Math.min(now + maxWaitMs(), latestAt);
         return { attemptId, brand, refuseAt, exclude, allowExcluded: allowExcluded ?? false };
     };
 
@@ -183,7 +194,9 @@
 
     const step = (event: SchedulerEvent, now: number): SchedulerAction[] => {
         const handler = handlers[event.kind] as (event: SchedulerEvent, now: number) => SchedulerAction[];
-        return handler(event, now);
+        const actions = handler(event, now);
+        standing.observe(queue.size(), now);
+        return actions;
     };
 
     const nextTickAt = (now: number): number | undefined => {
