--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,9 +1,10 @@
 /** Every proof by name. */
-import { proveConfig } from "./config.js";
 import { proveAtMostOnce } from "./at-most-once.js";
+import { proveConfig } from "./config.js";
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
+import { proveRecovery } from "./recovery.js";
 import { proveTruthfulRefusal } from "./truthful-refusal.js";
 
 /** The proofs that `npm run prove` knows. */
@@ -13,4 +14,5 @@
     "floor": proveFloor,
     "overload": proveOverload,
     "truthful-refusal": proveTruthfulRefusal,
+    "recovery": proveRecovery,
 };
