Prove whole answers on real sockets, and answer once when a hedge is refused

Cause: when freeing the slot of an ended attempt refused the waiting hedge of the same request, the request could be called not run although it had run, and be answered twice; a slot granted to an attempt that was gone was lost. A reading of the code found both, after the same order had failed in a proof's fake host. Ruled out: changing the scheduler (it can't know which attempts belong together). Change: what may have run is noted, and the attempt kept, until the slot is freed; such a slot goes back. Proof whole-answer against a client that reuses connections blindly. Backend servers learn which hosts hold their lease and announce there, so that renewals are relayed no more.

--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -1,5 +1,6 @@
 /** Naive versions of the decisions, for differential tests (development only). */
 export * from "./lib/naive-claims.js";
+export * from "./lib/naive-client.js";
 export * from "./lib/naive-detector.js";
 export * from "./lib/naive-folder.js";
 export * from "./lib/naive-retry.js";
--- a/packages/core/src/lib/entry/entry-node.ts
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -37,6 +37,8 @@
     step(event: EntryEvent, now: number): EntryAction[];
     /** The hosts that a caller should use for a brand and kind of request, best first. */
     addresses(brand: string | undefined, kind: string | undefined): HostInfo[];
+    /** The hosts that a backend server should announce itself to: those that hold its lease. */
+    announceTargets(announcement: Announcement): HostInfo[];
     /** Where the tables send a brand and kind of request. */
     destinationOf(brand: string, kind: string): string | undefined;
     version(): Version;
@@ -156,10 +158,9 @@
         return [...notes, ...applyPoolChanges(pools.refresh(services, now), now)];
     };
 
-    const holdersOfServer = (announcement: Announcement): string[] => {
+    const announceTargets = (announcement: Announcement): HostInfo[] => {
         const hosts = membership.usable();
-        const holders = announcement.services.flatMap(service => holdersOf(service, announcement.region, hosts));
-        return [...new Set(holders.map(host => host.hostId))];
+        return [...new Set(announcement.services.flatMap(service => holdersOf(service, announcement.region, hosts)))];
     };
 
     /** When the backend server certainly sent the announcement, on this host's clock. */
@@ -168,11 +169,14 @@
 
     const announce = (announcement: Announcement, echo: ClockEcho | undefined, now: number): EntryAction[] => {
         const heardAt = sentAt(echo, now) ?? now;
-        const holders = holdersOfServer(announcement);
-        const remote = holders.filter(hostId => hostId !== self.hostId);
+        const holders = announceTargets(announcement).map(host => host.hostId);
+        const isHolder = holders.includes(self.hostId);
+        const changes = isHolder ? directory.announce(announcement, { validFrom: heardAt }, now) : [];
+        // A holder is told directly, and so are the others: it relays changes, for speed, but no renewals.
+        const isWorthRelaying = !isHolder || changes.length > 0;
+        const remote = isWorthRelaying ? holders.filter(hostId => hostId !== self.hostId) : [];
         const relays = relayer.relay(announcement, heardAt, remote)
             .map(({ toHostId, message }) => send(toHostId, { kind: FleetMessageKind.Relay, message }));
-        const changes = holders.includes(self.hostId) ? directory.announce(announcement, { validFrom: heardAt }, now) : [];
         return [...relays, ...applyDirectory(changes, now)];
     };
 
@@ -303,6 +307,7 @@
     return {
         step,
         addresses,
+        announceTargets,
         destinationOf,
         version: () => tables?.version ?? noVersion,
         versioned: () => tables,
--- a/packages/core/src/lib/entry/request-flow.ts
+++ b/packages/core/src/lib/entry/request-flow.ts
@@ -41,12 +41,14 @@
     const { hostId, ports } = cfg;
     const book = createRequestBook();
 
+    const endClaim = (request: OpenRequest, end: ClaimEnd, now: number): EntryAction[] =>
+        request.claimed ? ports.endClaim(request.info.requestId, end, now) : [];
+
     const refuse = (request: OpenRequest, refusal: Refusal, now: number): EntryAction[] => {
         const { requestId } = request.info;
         book.close(requestId);
         const end: ClaimEnd = refusal.outcome === Outcome.NotRun ? { kind: "not-run" } : { kind: "unknown" };
-        const claim = request.claimed ? ports.endClaim(requestId, end, now) : [];
-        return [{ kind: EntryActionKind.Refuse, requestId, refusal }, ...claim];
+        return [{ kind: EntryActionKind.Refuse, requestId, refusal }, ...endClaim(request, end, now)];
     };
 
     const startAttempt = (pool: PoolNode, attempt: OpenAttempt, serverId: string, now: number): EntryAction[] => {
@@ -93,11 +95,17 @@
         return refuse(request, truthful(request, notScheduled(request.service, action.reason, action.retryAfterMs)), now);
     };
 
+    /** A slot that nobody wants any more goes back, or it would be lost for good. */
+    const returnSlot = (pool: PoolNode, action: SchedulerAction, now: number): EntryAction[] =>
+        action.kind === SchedulerActionKind.Grant
+            ? ports.applyPool(pool, pool.ended(action.attemptId, action.serverId, AttemptClass.Cancelled, undefined, now), now)
+            : [];
+
     const applyScheduled = (pool: PoolNode, actions: SchedulerAction[], now: number): EntryAction[] =>
         actions.flatMap(action => {
             const attempt = book.findAttempt(action.attemptId);
             if (attempt === undefined) {
-                return [];
+                return returnSlot(pool, action, now);
             }
             return action.kind === SchedulerActionKind.Grant
                 ? startAttempt(pool, attempt, action.serverId, now)
@@ -184,16 +192,14 @@
     const deliver = (request: OpenRequest, attemptId: string, answer: StoredAnswer | undefined, now: number): EntryAction[] => {
         const { requestId } = request.info;
         book.close(requestId);
-        const claim = request.claimed ? ports.endClaim(requestId, { kind: "completed", answer }, now) : [];
+        const claim = endClaim(request, { kind: "completed", answer }, now);
         return [{ kind: EntryActionKind.Deliver, requestId, attemptId }, ...claim, ...cancelAttempts(requestId, now)];
     };
 
     /** Ends a request whose answer the adapter had already begun to pass on. */
     const close = (request: OpenRequest, attemptClass: AttemptClass, now: number): EntryAction[] => {
-        const { requestId } = request.info;
-        book.close(requestId);
-        const end: ClaimEnd = attemptClass === AttemptClass.Success ? { kind: "completed" } : { kind: "unknown" };
-        return request.claimed ? ports.endClaim(requestId, end, now) : [];
+        book.close(request.info.requestId);
+        return endClaim(request, { kind: attemptClass === AttemptClass.Success ? "completed" : "unknown" }, now);
     };
 
     const giveUp = (request: OpenRequest, outcome: Outcome.NotRun | Outcome.Unknown, now: number): EntryAction[] => {
@@ -210,17 +216,21 @@
         if (attempt?.serverId === undefined) {
             return [];
         }
-        book.removeAttempt(attempt.attemptId);
+        // Known before the slot is freed: freeing it may refuse a waiting hedge of the same request, and what is said then
+        // must take this attempt into account.
+        if (request !== undefined) {
+            request.mayHaveRun ||= event.attemptClass !== AttemptClass.Shed && event.attemptClass !== AttemptClass.NotSent;
+        }
         const owner = ports.pools.find(attempt.service);
         const ended = owner?.ended(attempt.attemptId, attempt.serverId, event.attemptClass, event.retryAfterMs, now);
         const freed = owner === undefined || ended === undefined ? [] : ports.applyPool(owner, ended, now);
-        if (request === undefined) {
+        book.removeAttempt(attempt.attemptId);
+        if (request === undefined || book.find(request.info.requestId) !== request) {
             return freed;
         }
         if (event.committed === true) {
             return [...close(request, event.attemptClass, now), ...cancelAttempts(request.info.requestId, now), ...freed];
         }
-        request.mayHaveRun ||= event.attemptClass !== AttemptClass.Shed && event.attemptClass !== AttemptClass.NotSent;
         return [...afterAttempt(request, owner, event, now), ...freed];
     };
 
@@ -230,8 +240,7 @@
         event: Extract<EntryEvent, { kind: EntryEventKind.AttemptEnded; }>,
         now: number,
     ): EntryAction[] => {
-        const { requestId } = request.info;
-        const isAloneLeft = book.attemptsOf(requestId).length === 0;
+        const isAloneLeft = book.attemptsOf(request.info.requestId).length === 0;
         if (!isAloneLeft && event.attemptClass !== AttemptClass.Success) {
             return [];
         }
--- a/packages/entry/src/lib/admin-server.ts
+++ b/packages/entry/src/lib/admin-server.ts
@@ -12,6 +12,8 @@
     leaseMs: number;
     /** To be sent back with the next announcement, so that a late one grants no lease. */
     echo: { incarnation: number; clock: number; };
+    /** Admin addresses, as "host:port", of the hosts to announce to from now on; each of them, since each holds the lease. */
+    announceTo: string[];
 }
 
 /** Options of {@link createAdminServer}. */
--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -125,7 +125,8 @@
         services: () => node.versioned()?.tables.pools.map(pool => pool.service) ?? [],
         onAnnounce: (announcement, echo) => {
             send({ kind: EntryEventKind.Announce, announcement, echo });
-            return { leaseMs, echo: { incarnation: startedAt, clock: now() } };
+            const announceTo = node.announceTargets(announcement).map(host => `${host.adminHost}:${host.adminPort}`);
+            return { leaseMs, echo: { incarnation: startedAt, clock: now() }, announceTo };
         },
         status: () => buildEntryStatus({ node, self, startedAt, nowMs: Date.now(), burn: book.burn() }),
         metrics: () => book.metrics(),
--- a/packages/measure/src/lib/loopback-fleet.ts
+++ b/packages/measure/src/lib/loopback-fleet.ts
@@ -34,6 +34,8 @@
     messages: Record<FleetMessageKind, number>;
     /** Encoded bytes, frames included. */
     bytes: Record<FleetMessageKind, number>;
+    /** Announcements of backend servers over HTTP, their answers included. */
+    announceBytes: number;
     /** Processor time of all nodes' steps, in milliseconds. */
     stepMs: number;
     /** Simulated time, in milliseconds. */
@@ -49,7 +51,8 @@
 
 const tickMs = 25;
 const announcePeriodMs = 700;
-const announceCopies = 2;
+/** Request line and headers of an announcement and its whole answer, as the stand-in and the entry host send them. */
+const announceOverheadBytes = 620;
 const regions = 3;
 const zonesPerRegion = 2;
 /** An envelope of the fleet's protocol around each message. */
@@ -138,9 +141,11 @@
     const announce = (server: number): void => {
         sequence += 1;
         const announcement: Announcement = { ...serverOf(server, options.services), sequence };
-        for (let copy = 0; copy < announceCopies; copy += 1) {
-            const host = (server + copy) % options.hosts;
-            step(host, { kind: EntryEventKind.Announce, announcement, echo: echoOf(host) });
+        for (const target of nodes[server % options.hosts]!.announceTargets(announcement)) {
+            const host = indexOf.get(target.hostId)!;
+            const echo = echoOf(host);
+            traffic.announceBytes += announceOverheadBytes + JSON.stringify({ ...announcement, echo }).length;
+            step(host, { kind: EntryEventKind.Announce, announcement, echo });
         }
     };
 
@@ -163,7 +168,7 @@
     };
 
     const run = (simulatedMs: number): ControlTraffic => {
-        traffic = { messages: noCounts(), bytes: noCounts(), stepMs: 0, simulatedMs };
+        traffic = { messages: noCounts(), bytes: noCounts(), announceBytes: 0, stepMs: 0, simulatedMs };
         const until = now + simulatedMs;
         while (now < until) {
             runTick();
@@ -171,7 +176,7 @@
         return traffic;
     };
 
-    traffic = { messages: noCounts(), bytes: noCounts(), stepMs: 0, simulatedMs: 0 };
+    traffic = { messages: noCounts(), bytes: noCounts(), announceBytes: 0, stepMs: 0, simulatedMs: 0 };
     for (const [index] of nodes.entries()) {
         step(index, {
             kind: EntryEventKind.Tables,
--- a/packages/measure/src/lib/slopes.ts
+++ b/packages/measure/src/lib/slopes.ts
@@ -14,6 +14,7 @@
     /** Control bytes that one host sends a second, by protocol. */
     membershipBytesPerS: number;
     relayBytesPerS: number;
+    announceBytesPerS: number;
     messagesPerS: number;
     /** Share of a core that one host's decisions take for control, in percent; sockets and codecs come on top. */
     corePercent: number;
@@ -29,7 +30,7 @@
     memoryKb: number;
 }
 
-const warmUpMs = 30_000;
+const warmUpMs = 90_000;
 const runMs = 12_000;
 const msPerSecond = 1000;
 const bytesPerKb = 1024;
@@ -57,6 +58,7 @@
         value,
         membershipBytesPerS: traffic.bytes[FleetMessageKind.Membership] / perHostSecond,
         relayBytesPerS: traffic.bytes[FleetMessageKind.Relay] / perHostSecond,
+        announceBytesPerS: traffic.announceBytes / perHostSecond,
         messagesPerS: sum(traffic.messages) / perHostSecond,
         corePercent: traffic.stepMs / (hosts * runMs) * 100,
         stateKb,
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -7,9 +7,11 @@
 import type { Proof } from "./proof.js";
 import { proveRecovery } from "./recovery.js";
 import { proveTruthfulRefusal } from "./truthful-refusal.js";
+import { proveWholeAnswer } from "./whole-answer.js";
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
+    "whole-answer": proveWholeAnswer,
     "config": proveConfig,
     "at-most-once": proveAtMostOnce,
     "detection": proveDetection,
--- a/packages/standins/src/lib/announcer.ts
+++ b/packages/standins/src/lib/announcer.ts
@@ -19,20 +19,25 @@
     stop(): void;
 }
 
+interface Reply {
+    echo?: { incarnation: number; clock: number; };
+    announceTo?: string[];
+}
+
 interface Echo {
     incarnation: number;
     clock: number;
     heardAt: number;
 }
 
-/** Entry hosts that are told each time. */
-const copies = 2;
 const timeoutMs = 1000;
 
 /** Starts announcing. */
 export const createAnnouncer = (options: AnnouncerOptions): Announcer => {
     const incarnation = Date.now();
     const echoes = new Map<string, Echo>();
+    let holders: string[] = [];
+    let isCut = false;
     let sequence = 0;
     let state = ServerState.Ready;
     let first = Math.abs(options.announcement.port) % Math.max(1, options.entryHosts.length);
@@ -50,11 +55,12 @@
                 headersTimeout: timeoutMs,
                 bodyTimeout: timeoutMs,
             });
-            const reply = await res.body.json() as { echo?: { incarnation: number; clock: number; }; };
+            const reply = await res.body.json() as Reply;
             if (res.statusCode !== 200 || reply.echo === undefined) {
                 return false;
             }
             echoes.set(entryHost, { ...reply.echo, heardAt: performance.now() });
+            holders = reply.announceTo ?? holders;
             return true;
         }
         catch {
@@ -65,12 +71,12 @@
     const announce = async (): Promise<void> => {
         sequence += 1;
         const body: Announcement = { ...options.announcement, incarnation, sequence, state };
-        const targets = Array.from(
-            { length: Math.min(copies, options.entryHosts.length) },
-            (_, index) => options.entryHosts[(first + index) % options.entryHosts.length]!,
-        );
+        const anyHost = options.entryHosts[first % options.entryHosts.length]!;
+        // Any host passes the announcement on; one is added as long as a holder can't be reached.
+        const targets = holders.length > 0 && !isCut ? holders : [...new Set([...holders, anyHost])];
         const results = await Promise.all(targets.map(target => announceTo(target, body)));
-        if (results.includes(false)) {
+        isCut = results.includes(false);
+        if (isCut) {
             first += 1;
         }
     };
