--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -158,8 +158,16 @@
     });
 
     it("commits nothing after what the leader's message has confirmed", () => {
-        const node = createNode(stored([noop(2, 1), noop(3, 1)]));
+        const change = {
+            changeId: "x",
+            expectedVersion: noVersion,
+            tables: { routes: [], pools: [] },
+            author: "",
+            acceptedAt: 0,
+        };
+        const node = createNode(stored([noop(2, 1), { index: 3, term: 1, body: { kind: EntryKind.Change, change } }]));
         node.step(message("b", append(2, 2, 1, [], 9)), 0);
+        expect(node.status().committed.index).to.equal(0);
         const hint = sentOf(node.step(message("b", append(2, 9, 2, [])), 0), PeerMessageKind.AppendReply)[0]!;
         expect(hint.index).to.equal(4);
         const conflicting = node.step(message("b", append(2, 2, 1, [noop(3, 2)], 2)), 0);
@@ -174,7 +182,23 @@
             actions.flatMap(action => action.kind === NodeActionKind.Append ? action.entries.map(entry => entry.body.kind) : []);
         expect(bodies(node.step(message("c", join), longMs))).to.deep.equal([]);
         node.step(message("b", accepted(1, 2)), longMs);
-        expect(bodies(node.step(message("c", accepted(1, 2, 0, 99)), longMs))).to.deep.equal([]);
+        // What the lost disk held, what came before the round that the join began, and a part are not enough.
+        node.step(message("c", accepted(1, 2, 1, 1)), longMs);
+        const refused: PeerMessage = {
+            kind: PeerMessageKind.AppendReply,
+            term: 1,
+            ok: false,
+            index: 1,
+            round: 1,
+            incarnation: 99,
+        };
+        for (const answer of [refused, accepted(1, 2, 0, 98), accepted(1, 2, 0, 99)]) {
+            node.step(message("c", answer), longMs);
+            expect(bodies(node.step(message("c", join), longMs))).to.deep.equal([]);
+        }
+        node.step(message("c", accepted(1, 2, 1, 98)), longMs);
+        node.step(message("c", accepted(1, 1, 1, 99)), longMs);
+        expect(bodies(node.step(message("c", join), longMs))).to.deep.equal([]);
         node.step(message("c", accepted(1, 2, 1, 99)), longMs);
         expect(bodies(node.step(message("c", join), longMs))).to.deep.equal([EntryKind.RemoveVoter]);
         node.step(message("c", accepted(1, 3, 1, 99)), longMs);
@@ -202,6 +226,23 @@
         expect(sentOf(node.step({ kind: NodeEventKind.Tick }, longMs), PeerMessageKind.Join)).to.have.length(2);
     });
 
+    it("begins with the epoch of its first start once every other host is at its own", () => {
+        const hardState = { incarnation: 1, founding: true, term: 0 };
+        const node = createStateNode({
+            hostId: "a",
+            hostIds,
+            stored: { hardState, entries: [] },
+            random: createRandom(1),
+            wallClock: () => 0,
+            firstEpoch: 3,
+        });
+        const { nonce } = sentOf(node.step({ kind: NodeEventKind.Tick }, 0), PeerMessageKind.Greet)[0]!;
+        node.step(message("b", { kind: PeerMessageKind.GreetReply, nonce, fresh: true }), 0);
+        const last = node.step(message("c", { kind: PeerMessageKind.GreetReply, nonce, fresh: true }), 0);
+        expect(last.map(action => action.kind)).to.deep.equal([NodeActionKind.SaveSnapshot, NodeActionKind.SaveHardState]);
+        expect(node.status().committed).to.deep.equal({ epoch: 3, index: 0 });
+    });
+
     it("answers no watch before it knows as much as before its start", () => {
         const node = createNode(stored([noop(2, 1)]));
         const watch = { kind: StateRequestKind.Watch as const, known: noVersion, waitMs: 0, hostId: "entry" };
