Pick a member last while an attempt there hangs (Prompt)

Cause: Prompt missed its 300 ms for members that stop answering: with one or two attempts stuck, the evidence takes until they are several times late, and new requests went there meanwhile. Change: weight() falls while an attempt in flight is late and others answer. One direction only still misses 300 ms.

--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -39,6 +39,8 @@
     needsContrast(serverId: string, now: number): boolean;
     /** Whether many requests went well at the member of late. */
     isKnownWell(serverId: string, now: number): boolean;
+    /** Whether an attempt in flight at the member is late while others answer. */
+    isHanging(serverId: string): boolean;
     /** Whether requests went well at the member after `since`. */
     answeredSince(serverId: string, since: number): boolean;
     members(): string[];
@@ -259,6 +261,12 @@
         return suspicious && comparable(serverId, member, now).length === 0;
     };
 
+    const isHanging = (serverId: string): boolean => {
+        const since = members.get(serverId)?.evidence.lastBadStartedAt(Test.Tail);
+        const late = [...attempts.values()].some(attempt => attempt.serverId === serverId && attempt.levelsCounted > 0);
+        return since !== undefined && late && peersAnswered(serverId, since);
+    };
+
     const isDoubted = (serverId: string): boolean => {
         const evidence = members.get(serverId)?.evidence;
         return evidence !== undefined && tests.some(test => evidence.value(test) >= scoreFloor);
@@ -274,6 +282,7 @@
         score,
         isDoubted,
         needsContrast,
+        isHanging,
         isKnownWell: (serverId, now) => {
             const member = members.get(serverId);
             if (member !== undefined) {
--- a/packages/core/src/lib/detector.ts
+++ b/packages/core/src/lib/detector.ts
@@ -265,7 +265,7 @@
     const weight = (serverId: string): number => {
         const doubted = remote.opinions(serverId, clock).ill > 0 && !pool.isKnownWell(serverId, clock);
         const own = known.get(serverId)?.admission.weight(clock) ?? 1;
-        const moved = doubted || pool.needsContrast(serverId, clock);
+        const moved = doubted || pool.needsContrast(serverId, clock) || (policy.avoidsHanging && pool.isHanging(serverId));
         return moved ? Math.min(own, doubtedWeight) : own;
     };
 
