--- a/packages/measure/src/lib/detection-table.ts
+++ b/packages/measure/src/lib/detection-table.ts
@@ -62,6 +62,6 @@
         "fault".padEnd(nameWidth) + ["p50", "p99", "target", "not found", "others"].map(figure).join(""),
         ...report.faults.map(faultLine),
         `${report.version}, ${report.mode}: false ejections without a fault`,
-        "case".padEnd(nameWidth) + ["hours", "false", "per 1000 h"].map(figure).join(""),
+        "case".padEnd(nameWidth) + ["hours", "false", "/1000 h"].map(figure).join(""),
         ...report.troubles.map(troubleLine),
     ].join("\n");
