--- a/packages/core/src/lib/claims/claim-store.ts
+++ b/packages/core/src/lib/claims/claim-store.ts
@@ -33,8 +33,9 @@
 /** Turns a record into what another replica is told. */
 export const shareRecord = (record: ClaimRecord, now: number): SharedRecord => ({
     claimId: record.claimId,
-    holders: record.holders,
-    released: record.released,
+    // Copies: the record goes on changing while a message waits to be sent.
+    holders: [...record.holders],
+    released: [...record.released],
     finished: record.finished,
     ageMs: now - record.since,
 });
@@ -98,11 +99,16 @@
         if (known !== undefined) {
             return known;
         }
-        expire(now);
+        if (records.size >= limits.maxKeys) {
+            expire(now);
+        }
         return records.size < limits.maxKeys ? add(claimId, now) : undefined;
     };
 
     const refresh = (record: ClaimRecord, since: number): void => {
+        if (record.since === since) {
+            return;
+        }
         record.since = since;
         records.delete(record.claimId);
         records.set(record.claimId, record);
--- a/packages/core/src/lib/entry/entry-messages.ts
+++ b/packages/core/src/lib/entry/entry-messages.ts
@@ -1,8 +1,10 @@
 /** Events, actions and messages of one entry host. */
 import type { Announcement } from "../backend-server.js";
+import type { ClaimAnswer, ClaimMessage } from "../claims/index.js";
 import type { ClockEcho, RelayMessage } from "../directory/relay.js";
 import type { MembershipMessage } from "../membership/messages.js";
 import type { AttemptClass, Refusal } from "../outcome.js";
+import type { EntryRoster } from "../state-messages.js";
 import type { Version, VersionedTables } from "../tables.js";
 
 /** A request as the decisions see it; its body stays with the adapter. */
@@ -21,30 +23,33 @@
 }
 
 /** A whole answer that can be replayed. */
-export interface StoredAnswer {
-    status: number;
-    headers: Record<string, string>;
-    body: Uint8Array;
-}
+export type StoredAnswer = ClaimAnswer;
 
 export enum FleetMessageKind {
     Membership = "membership",
     Relay = "relay",
+    Claim = "claim",
+    Evidence = "evidence",
 }
 
 /** A message between entry hosts. */
 export type FleetMessage =
     | { kind: FleetMessageKind.Membership; message: MembershipMessage; }
-    | { kind: FleetMessageKind.Relay; message: RelayMessage; };
+    | { kind: FleetMessageKind.Relay; message: RelayMessage; }
+    | { kind: FleetMessageKind.Claim; message: ClaimMessage; }
+    /** What the sender itself has seen of a backend server, in thresholds. */
+    | { kind: FleetMessageKind.Evidence; service: string; serverId: string; evidence: number; };
 
 export enum EntryEventKind {
     Request = "request",
     AttemptEnded = "attempt-ended",
+    ProbeEnded = "probe-ended",
     ForwardEnded = "forward-ended",
     CallerGone = "caller-gone",
     Announce = "announce",
     Message = "message",
     Tables = "tables",
+    Enrolled = "enrolled",
     Tick = "tick",
     Drain = "drain",
 }
@@ -72,17 +77,21 @@
         /** Whether the adapter has begun to pass the answer on, since it was too large to buffer. */
         committed?: boolean;
     }
+    | { kind: EntryEventKind.ProbeEnded; service: string; serverId: string; attemptClass: AttemptClass; durationMs: number; }
     | { kind: EntryEventKind.ForwardEnded; requestId: string; forwardClass: ForwardClass; }
     | { kind: EntryEventKind.CallerGone; requestId: string; }
     | { kind: EntryEventKind.Announce; announcement: Announcement; echo?: ClockEcho; }
     | { kind: EntryEventKind.Message; fromHostId: string; message: FleetMessage; }
     | { kind: EntryEventKind.Tables; versioned: VersionedTables; }
+    /** The state hosts have answered the enrolment of this process. */
+    | { kind: EntryEventKind.Enrolled; firstStart: boolean; roster: EntryRoster; }
     | { kind: EntryEventKind.Tick; }
     | { kind: EntryEventKind.Drain; };
 
 export enum EntryActionKind {
     Attempt = "attempt",
     CancelAttempt = "cancel-attempt",
+    Probe = "probe",
     Forward = "forward",
     Deliver = "deliver",
     Replay = "replay",
@@ -116,6 +125,8 @@
         idempotent: boolean;
     }
     | { kind: EntryActionKind.CancelAttempt; attemptId: string; }
+    /** Send a copy of an idempotent request, or without one an OPTIONS request, and tell how it ended; the answer is dropped. */
+    | { kind: EntryActionKind.Probe; service: string; serverId: string; host: string; port: number; requestId?: string; }
     /** Pass the request on to another entry host. */
     | {
         kind: EntryActionKind.Forward;
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,10 +1,16 @@
 /** Every measurement by name. */
+import { measureClaims } from "./claims.js";
 import { measureDetection } from "./detection.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
+import { measureSlopes } from "./slopes.js";
+import { measureRestart } from "./restart.js";
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
+    "slopes": measureSlopes,
     "detection": measureDetection,
     "overload": measureOverload,
+    "claims": measureClaims,
+    "restart": measureRestart,
 };
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -5,6 +5,7 @@
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
+import { proveRecovery } from "./recovery.js";
 import { proveTruthfulRefusal } from "./truthful-refusal.js";
 
 /** The proofs that `npm run prove` knows. */
@@ -15,4 +16,5 @@
     "floor": proveFloor,
     "overload": proveOverload,
     "truthful-refusal": proveTruthfulRefusal,
+    "recovery": proveRecovery,
 };
