Close two gaps of restarted replicas: clocks that went back, and hosts that joined later

Cause, found by reading. The first process of a host tells no one its number, so when the clock went back over the first restart, a late vote of the first process counted beside votes of the second. And a host that had restarted never vouched for sets with a host that joined after it, so that a third host of such a set abstained for a horizon after its restart.

Ruled out: a number kept on the state hosts (they may be out of reach at a restart).

Change: a first process has the number 0, below that of every later one; a host vouches for sets with a host that no list named when it started, because it has seen every vote of them.

--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -51,6 +51,8 @@
     pauseMs: number;
 }
 
+/** The number of a process that had no earlier one. */
+const firstIncarnation = 0;
 /** The longest pause between two questions, in times of sending again. */
 const maxPauses = 10;
 
@@ -99,13 +101,17 @@
         });
     };
 
+    /** A host that no list named at the start: this process has seen every vote of every set with it. */
+    const joinedLater = (hostId: string): boolean => hostId !== cfg.hostId && !sources.has(hostId);
+
     /** A set of two is vouched for by naming the answering host itself. */
     const vouchedFor = (hostId: string, now: number): string[] | undefined => {
         if (isClean(now)) {
             return undefined;
         }
         const hostIds = new Set(membership?.lists.flatMap(list => list.hostIds));
-        return [...hostIds].filter(third => knowsSet([...new Set([cfg.hostId, hostId, third])]));
+        const knows = (third: string): boolean => knowsSet([...new Set([cfg.hostId, hostId, third])]);
+        return [...hostIds].filter(third => joinedLater(hostId) || joinedLater(third) || knows(third));
     };
 
     const ask = (hostId: string, source: Source, now: number): Addressed => {
@@ -200,6 +206,12 @@
         }
     };
 
+    const firstStart = (): void => {
+        clean = true;
+        // A number that no other host was told must lie below that of any later process, also when the clock goes back.
+        incarnation = membership === undefined ? firstIncarnation : incarnation;
+    };
+
     const missing = (now: number): string[] => {
         const silent = [...sources].filter(([, source]) => !source.complete && source.vouchedFor.size === 0);
         return isClean(now) ? [] : silent.map(([hostId]) => hostId);
@@ -230,9 +242,7 @@
         known,
         membership: () => membership,
         setRoster,
-        firstStart: () => {
-            clean = true;
-        },
+        firstStart,
         mayVote,
         missing,
         vouchedFor,
--- a/packages/core/src/test/claim-node_test.ts
+++ b/packages/core/src/test/claim-node_test.ts
@@ -209,6 +209,24 @@
         expect(fleet.nodes.get("a1")!.unsettled()).to.equal(0);
     });
 
+    it("takes the word of a restarted host for a set with a host that joined later", () => {
+        const fleet = createFleet();
+        const later: ClaimRoster = { version: 2, hosts: places, earlier: [roster.hosts] };
+        fleet.start("a1", false);
+        fleet.pass(1000);
+        fleet.start("b2", true, later);
+        fleet.step("a1", { kind: ClaimEventKind.Roster, roster: later });
+        fleet.pass(1000);
+        fleet.start("a2", false, later);
+        fleet.pass(1000);
+        fleet.unreachable.add("a1");
+        for (let index = 0; index < 20; index += 1) {
+            fleet.want("b1", String(index), "f", `key-${index}`);
+        }
+        fleet.pass(1000);
+        expect(fleet.heard).to.deep.equal(new Array(20).fill(ClaimActionKind.Granted));
+    });
+
     it("names the hosts that it waits for after a restart", () => {
         const fleet = createFleet();
         fleet.unreachable.add("a2");
--- a/packages/core/src/test/claim-restart-race_test.ts
+++ b/packages/core/src/test/claim-restart-race_test.ts
@@ -34,15 +34,16 @@
 });
 
 /** The order in which the two votes reach the outsider. */
-const orders: { name: string; lateVoteFirst: boolean; }[] = [
-    { name: "the forgotten vote arrives last", lateVoteFirst: false },
-    { name: "the forgotten vote arrives first", lateVoteFirst: true },
+const orders: { name: string; lateVoteFirst: boolean; incarnation: number; }[] = [
+    { name: "the forgotten vote arrives last", lateVoteFirst: false, incarnation: 9 },
+    { name: "the forgotten vote arrives first", lateVoteFirst: true, incarnation: 9 },
+    { name: "the clock of the replica went back over the restart", lateVoteFirst: false, incarnation: 3 },
 ];
 
 describe("claim and restart at the same time", () => {
-    for (const { name, lateVoteFirst } of orders) {
+    for (const { name, lateVoteFirst, incarnation } of orders) {
         it(`grants once when ${name}`, () => {
-            const nodes = new Map(hostIds.map(hostId => [hostId, start(hostId, 1)]));
+            const nodes = new Map(hostIds.map(hostId => [hostId, start(hostId, 5)]));
             const granted: string[] = [];
             const step = (hostId: string, event: ClaimEvent): ClaimAction[] => {
                 const actions = nodes.get(hostId)!.step(event, now);
@@ -59,7 +60,7 @@
             const claims = step(outsider, claimWanted("outsider"));
             const lateVote = messageTo(pass(outsider, restarted, messageTo(claims, restarted)), outsider);
             // The replica restarts and catches up before its vote has arrived, and before the others hear of the claim.
-            nodes.set(restarted, start(restarted, 2));
+            nodes.set(restarted, start(restarted, incarnation));
             const questions = step(restarted, { kind: ClaimEventKind.Roster, roster });
             for (const source of [slow, quick]) {
                 const page = messageTo(pass(restarted, source, messageTo(questions, source)), restarted);
