--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -1,7 +1,7 @@
 /** Naive versions of the decisions, for differential tests (development only). */
-export * from "./lib/naive-state.js";
-export * from "./lib/naive-detector.js";
 export * from "./lib/naive-claims.js";
+export * from "./lib/naive-detector.js";
 export * from "./lib/naive-retry.js";
 export * from "./lib/naive-scheduler.js";
+export * from "./lib/naive-state.js";
 export * from "./lib/naive-view.js";
--- a/packages/proofs/src/lib/detection-pool.ts
+++ b/packages/proofs/src/lib/detection-pool.ts
@@ -3,7 +3,7 @@
 import type { DetectionMode, Detector, DetectorAction, EffectiveView, Random } from "@cassiapick/core";
 import { createEventQueue } from "./detection-events.js";
 import { faultHandlers, Trouble, troubleHandlers } from "./detection-faults.js";
-import type { Served , Fault} from "./detection-faults.js";
+import type { Fault, Served } from "./detection-faults.js";
 
 /** Options of {@link runFakePool}. */
 export interface FakePoolCfg {
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -1,6 +1,6 @@
 /** Every proof by name. */
-import { proveConfig } from "./config.js";
 import { proveAtMostOnce } from "./at-most-once.js";
+import { proveConfig } from "./config.js";
 import { proveFloor } from "./floor.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
