--- a/packages/proofs/src/lib/config-contender.ts
+++ b/packages/proofs/src/lib/config-contender.ts
@@ -25,6 +25,9 @@
 /** Short times, so that a case sees many elections. */
 const timing: StateTiming = { heartbeatMs: 10, electionMs: 60, requestMs: 400 };
 
+/** The share of lost disks whose host still has the flag of the first start. */
+const flagLeftShare = 0.5;
+
 /** What a host does after one event, in order. */
 export type HostAction =
     | { kind: "write"; run: () => void; }
@@ -38,6 +41,7 @@
     request(requestId: number, request: StateRequest, now: number): HostAction[];
     /** Whether losing the disk of another host is within what the version has to survive. */
     isRecovered(): boolean;
+    leads(): boolean;
 }
 
 /** The disk of one host, which outlives its processes. */
@@ -67,10 +71,12 @@
 
 /** The state hosts of cassiapick on a disk that syncs each write before the next action. */
 export const createOwnDisk: CreateDisk = (hostId, hostIds, snapshotEvery) => {
-    let stored: StoredState | undefined = { hardState: { incarnation: firstIncarnation, founding: true, term: 0 }, entries: [] };
+    const firstStart: HardState = { incarnation: firstIncarnation, founding: true, term: 0 };
+    let stored: StoredState | undefined = { hardState: firstStart, entries: [] };
 
     const start = (random: Random): HostProcess => {
-        const lostDisk = (): HardState => ({ incarnation: drawIncarnation(random), founding: false, term: 0 });
+        const lostDisk = (): HardState =>
+            random.next() < flagLeftShare ? firstStart : { incarnation: drawIncarnation(random), founding: false, term: 0 };
         stored ??= { hardState: lostDisk(), entries: [] };
         const node = createStateNode({ hostId, hostIds, stored, random, wallClock: () => 0, snapshotEvery, timing });
 
@@ -90,6 +96,7 @@
                 node.step({ kind: NodeEventKind.Message, from, message: message as PeerMessage }, now).map(adapt),
             request: (requestId, request, now) => node.step({ kind: NodeEventKind.Request, requestId, request }, now).map(adapt),
             isRecovered: () => node.status().role !== StateRole.Recovering,
+            leads: () => node.status().role === StateRole.Leader,
         };
     };
 
@@ -124,6 +131,7 @@
                 node.step({ kind: NodeEventKind.Message, from, message: message as NaiveMessage }).map(adapt),
             request: (requestId, request) => node.step({ kind: NodeEventKind.Request, requestId, request }).map(adapt),
             isRecovered: () => true,
+            leads: () => false,
         };
     };
 
