--- a/packages/core/src/test/scheduler_test.ts
+++ b/packages/core/src/test/scheduler_test.ts
@@ -160,6 +160,15 @@
         ]);
     });
 
+    it("counts the waits of all attempts of a request together", () => {
+        const scheduler = createPool([member("a", { slots: 1 })]);
+        submitMany(scheduler, 1);
+        const again = { brand: "again", arrivedAt: 0, deadlineAt: 1000 };
+        expect(submitMany(scheduler, 1, again, 501)).to.deep.equal([RefusalKind.NoCapacity]);
+        scheduler.step({ kind: SchedulerEventKind.Release, attemptId: "parish-0-0" }, 502);
+        expect(submitMany(scheduler, 1, again, 503)).to.deep.equal(["a"]);
+    });
+
     it("refuses the waiting at once when the last member goes", () => {
         const scheduler = createPool([member("a", { slots: 1 })]);
         submitMany(scheduler, 2);
