--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -25,6 +25,8 @@
     firstStart(): void;
     /** Whether the replica may vote on a key: it knows all that an earlier process may have voted for. */
     mayVote(claimId: string, now: number): boolean;
+    /** Hosts that have sent nothing yet; none where nothing is needed. */
+    missing(now: number): string[];
     /** The third replicas for which this host may answer the catch-up of `hostId`; `undefined` for all. */
     vouchedFor(hostId: string, now: number): string[] | undefined;
     page(page: CatchUpPage, fromHostId: string, now: number): Addressed[];
@@ -45,10 +47,12 @@
     /** The third replicas that it has vouched for. */
     vouchedFor: Set<string>;
     askedAt: number;
+    /** Grows while nothing comes back, so that a host that stays away costs little. */
+    pauseMs: number;
 }
 
-/** Pauses between two questions to a host that has answered, but could not vouch for everything. */
-const idlePauses = 10;
+/** The longest pause between two questions, in times of sending again. */
+const maxPauses = 10;
 
 /** Creates the catch-up of a process that has just started. */
 export const createCatchUp = (cfg: CatchUpCfg): CatchUp => {
@@ -106,6 +110,7 @@
 
     const ask = (hostId: string, source: Source, now: number): Addressed => {
         source.askedAt = now;
+        source.pauseMs = Math.min(source.pauseMs * 2, cfg.limits.resendMs * maxPauses);
         const rosterVersion = membership?.roster.version ?? 0;
         const { session, cursor, vouchedFor: { size: vouched } } = source;
         return { hostId, message: { kind: ClaimMessageKind.CatchUp, rosterVersion, incarnation, session, cursor, vouched } };
@@ -116,7 +121,14 @@
         for (const list of first.lists) {
             listsAtStart.add(list.id);
             for (const hostId of list.hostIds.filter(other => other !== cfg.hostId)) {
-                sources.set(hostId, { session: undefined, cursor: 0, complete: false, vouchedFor: new Set(), askedAt: now });
+                sources.set(hostId, {
+                    session: undefined,
+                    cursor: 0,
+                    complete: false,
+                    vouchedFor: new Set(),
+                    askedAt: now,
+                    pauseMs: cfg.limits.resendMs / 2,
+                });
             }
         }
     };
@@ -154,6 +166,7 @@
             return [];
         }
         learn(fromHostId, received);
+        source.pauseMs = cfg.limits.resendMs;
         for (const record of received.records) {
             cfg.store.merge(record, now);
         }
@@ -187,6 +200,11 @@
         }
     };
 
+    const missing = (now: number): string[] => {
+        const silent = [...sources].filter(([, source]) => !source.complete && source.vouchedFor.size === 0);
+        return isClean(now) ? [] : silent.map(([hostId]) => hostId);
+    };
+
     const incarnationUsed = (highest: number, now: number): Addressed[] => {
         if (highest <= incarnation) {
             return [];
@@ -197,10 +215,7 @@
     };
 
     /** A source that could not vouch for everything is asked again: it may have caught up since. */
-    const isDue = (source: Source, now: number): boolean => {
-        const pauses = source.vouchedFor.size > 0 && source.session === undefined ? idlePauses : 1;
-        return !source.complete && now - source.askedAt >= cfg.limits.resendMs * pauses;
-    };
+    const isDue = (source: Source, now: number): boolean => !source.complete && now - source.askedAt >= source.pauseMs;
 
     const tick = (now: number): Addressed[] => {
         if (membership === undefined || isClean(now)) {
@@ -219,6 +234,7 @@
             clean = true;
         },
         mayVote,
+        missing,
         vouchedFor,
         page,
         restart,
