Find the ill member of a pool of two

Cause: in the running demo a backend server that answered 500 to everything stayed healthy with evidence 0: 97 refusals and 5xx among 81 requests in 4 s. An answer of the others counted as well only if its time could be compared, and the only other member was the ill one, so nothing ever answered well. Ruled out: lost events (the detector alone shows it), the floor (3 of 6 slots), the picking by availability zone (it also fails with equal traffic). Change: whether others fail is told by any whole answer; whether they are slow still only by one in time.

--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -46,6 +46,14 @@
     members(): string[];
 }
 
+/** A whole answer of a member. */
+interface WellAnswer {
+    serverId: string;
+    startedAt: number;
+    /** Whether its time was about as usual. */
+    isTimely: boolean;
+}
+
 const illNextLevelRate = 0.8;
 const illAddedRates = { [Test.Failure]: 0.25, [Test.Tail]: 0.4 };
 const maxIllRate = 0.95;
@@ -80,7 +88,7 @@
     };
     const references = createLatencyReferences({ isTrusted: cfg.isTrusted, isComparable });
     const rates = createRateBook(cfg.isTrusted);
-    const wellAnswers: { serverId: string; startedAt: number; }[] = [];
+    const wellAnswers: WellAnswer[] = [];
 
     const join = (serverId: string, traits: MemberTraits): void => {
         const member = members.get(serverId) ?? createPoolMember(traits, policy);
@@ -150,6 +158,11 @@
         return reference;
     };
 
+    const noteAnswer = (answer: WellAnswer): void => {
+        wellAnswers.push(answer);
+        wellAnswers.splice(0, wellAnswers.length - rememberedAnswers);
+    };
+
     const countSuccess = (attempt: Attempt, member: PoolMember, reference: LatencyReference | undefined, now: number): void => {
         const logMs = logTime(attempt, member, now);
         if (!attempt.cold) {
@@ -159,6 +172,8 @@
         member.ended += 1;
         countRate(Test.Failure, false, attempt, member, now);
         if (reference === undefined) {
+            // Without anything to compare its time with, it still shows that the member does not fail.
+            noteAnswer({ serverId: attempt.serverId, startedAt: attempt.startedAt, isTimely: false });
             return;
         }
         if (attempt.levelsCounted === 0) {
@@ -175,9 +190,8 @@
             refreshMember(member, now);
             member.well += 1;
             member.lastWellAt = now;
-            wellAnswers.push({ serverId: attempt.serverId, startedAt: attempt.startedAt });
-            wellAnswers.splice(0, wellAnswers.length - rememberedAnswers);
         }
+        noteAnswer({ serverId: attempt.serverId, startedAt: attempt.startedAt, isTimely: ratio < wellLog });
     };
 
     const countFailure = (attempt: Attempt, member: PoolMember, outcome: AttemptClass, now: number): void => {
@@ -218,8 +232,11 @@
         }
     };
 
-    const peersAnswered = (serverId: string, since: number): boolean => {
-        const count = wellAnswers.filter(answer => answer.serverId !== serverId && answer.startedAt > since).length;
+    // Whether others fail is told by any whole answer; whether they are slow, only by one that was in time.
+    const peersAnswered = (serverId: string, since: number, test: Test): boolean => {
+        const isFit = (answer: WellAnswer): boolean =>
+            answer.serverId !== serverId && answer.startedAt > since && (answer.isTimely || test === Test.Failure);
+        const count = wellAnswers.filter(isFit).length;
         return count >= policy.peerAnswers;
     };
 
@@ -236,7 +253,7 @@
 
     const testScore = (serverId: string, member: PoolMember, test: Test, now: number): number => {
         const since = contrastFrom(member, test);
-        if (since === undefined || !peersAnswered(serverId, since)) {
+        if (since === undefined || !peersAnswered(serverId, since, test)) {
             return 0;
         }
         const others = comparable(serverId, member, now);
@@ -264,7 +281,7 @@
     const isHanging = (serverId: string): boolean => {
         const since = members.get(serverId)?.evidence.lastBadStartedAt(Test.Tail);
         const late = [...attempts.values()].some(attempt => attempt.serverId === serverId && attempt.levelsCounted > 0);
-        return since !== undefined && late && peersAnswered(serverId, since);
+        return since !== undefined && late && peersAnswered(serverId, since, Test.Tail);
     };
 
     const isDoubted = (serverId: string): boolean => {
