Prove leaving against leases that count from arrival

Cause: the promise that a leaver gets no new work after 3 s had no proof. Change: proof leaving: five whole entry nodes with clocks of their own, links that stall, drop and delay in one direction, a frozen process, leavers that say so and servers that are gone without a word; naive counts a lease from arrival.

--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./lib/naive-claims.js";
 export * from "./lib/naive-client.js";
 export * from "./lib/naive-detector.js";
+export * from "./lib/naive-directory.js";
 export * from "./lib/naive-folder.js";
 export * from "./lib/naive-retry.js";
 export * from "./lib/naive-scheduler.js";
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -3,6 +3,7 @@
 import { proveConfig } from "./config.js";
 import { proveDetection } from "./detection.js";
 import { proveFloor } from "./floor.js";
+import { proveLeaving } from "./leaving.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
 import { proveRecovery } from "./recovery.js";
@@ -11,6 +12,7 @@
 
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
+    "leaving": proveLeaving,
     "whole-answer": proveWholeAnswer,
     "config": proveConfig,
     "at-most-once": proveAtMostOnce,
