Revert picking a member last while it hangs; take round trips off probes

Apart from that, a probe to a far region takes 40 ms more, so a well member there could fail its probes. Ruled out: keeping it for Prompt only; the gain is not clear.

--- a/packages/core/src/lib/detection/policy.ts
+++ b/packages/core/src/lib/detection/policy.ts
@@ -15,8 +15,6 @@
     failureScales: number;
     /** A pause that a well member may take, for example to collect garbage, in milliseconds. */
     pauseMs: number;
-    /** Whether a member is picked last while an attempt there is late, which costs some capacity. */
-    avoidsHanging: boolean;
     /** Answers of other members that must have gone well meanwhile, so that the whole pool's trouble blames nobody. */
     peerAnswers: number;
     /** Time without a first probe after an ejection, in milliseconds; doubles with each strike. */
@@ -38,7 +36,6 @@
         tailScales: 2.5,
         failureScales: 2.5,
         pauseMs: 100,
-        avoidsHanging: true,
         peerAnswers: 3,
         backoffMs: 2_000,
         maxBackoffMs: 300_000,
@@ -52,7 +49,6 @@
         tailScales: 3,
         failureScales: 4,
         pauseMs: 200,
-        avoidsHanging: false,
         peerAnswers: 6,
         backoffMs: 5_000,
         maxBackoffMs: 300_000,
--- a/packages/core/src/lib/detection/pool-evidence.ts
+++ b/packages/core/src/lib/detection/pool-evidence.ts
@@ -39,10 +39,10 @@
     needsContrast(serverId: string, now: number): boolean;
     /** Whether many requests went well at the member of late. */
     isKnownWell(serverId: string, now: number): boolean;
-    /** Whether an attempt in flight at the member is late while others answer. */
-    isHanging(serverId: string): boolean;
     /** Whether requests went well at the member after `since`. */
     answeredSince(serverId: string, since: number): boolean;
+    /** The usual time of a round trip to a member, in milliseconds. */
+    roundTripMs(serverId: string): number;
     members(): string[];
 }
 
@@ -261,12 +261,6 @@
         return suspicious && comparable(serverId, member, now).length === 0;
     };
 
-    const isHanging = (serverId: string): boolean => {
-        const since = members.get(serverId)?.evidence.lastBadStartedAt(Test.Tail);
-        const late = [...attempts.values()].some(attempt => attempt.serverId === serverId && attempt.levelsCounted > 0);
-        return since !== undefined && late && peersAnswered(serverId, since);
-    };
-
     const isDoubted = (serverId: string): boolean => {
         const evidence = members.get(serverId)?.evidence;
         return evidence !== undefined && tests.some(test => evidence.value(test) >= scoreFloor);
@@ -282,7 +276,6 @@
         score,
         isDoubted,
         needsContrast,
-        isHanging,
         isKnownWell: (serverId, now) => {
             const member = members.get(serverId);
             if (member !== undefined) {
@@ -291,6 +284,7 @@
             return member !== undefined && member.well >= wellAttempts;
         },
         answeredSince: (serverId, since) => (members.get(serverId)?.lastWellAt ?? 0) > since,
+        roundTripMs: serverId => members.get(serverId)?.roundTripMs ?? 0,
         members: () => [...members.keys()],
     };
 };
--- a/packages/core/src/lib/detector.ts
+++ b/packages/core/src/lib/detector.ts
@@ -217,7 +217,8 @@
 
     const probed = (event: Extract<DetectorEvent, { kind: DetectorEventKind.ProbeFinished; }>): DetectorAction[] => {
         const found = recall(event.serverId);
-        const quick = event.durationMs <= usualProbeMs * slowProbeFactor;
+        const serviceMs = event.durationMs - pool.roundTripMs(event.serverId);
+        const quick = serviceMs <= usualProbeMs * slowProbeFactor;
         if (!found.admission.probed(event.outcome === AttemptClass.Success && quick, clock)) {
             return [];
         }
@@ -265,7 +266,7 @@
     const weight = (serverId: string): number => {
         const doubted = remote.opinions(serverId, clock).ill > 0 && !pool.isKnownWell(serverId, clock);
         const own = known.get(serverId)?.admission.weight(clock) ?? 1;
-        const moved = doubted || pool.needsContrast(serverId, clock) || (policy.avoidsHanging && pool.isHanging(serverId));
+        const moved = doubted || pool.needsContrast(serverId, clock);
         return moved ? Math.min(own, doubtedWeight) : own;
     };
 
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -3,8 +3,8 @@
 import { measureDetection } from "./detection.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
-import { measureSlopes } from "./slopes.js";
 import { measureRestart } from "./restart.js";
+import { measureSlopes } from "./slopes.js";
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
