Ignore messages of kinds that a state host does not know

Cause: during an upgrade a newer peer may send a kind that has no handler; the actor that owns the node would end. Ruled out: closing the connection (the peer's other messages are sound). Change: such a message is dropped before it reaches the node.

--- a/packages/state/src/lib/state-host.ts
+++ b/packages/state/src/lib/state-host.ts
@@ -1,5 +1,5 @@
 /** The running state host: actors that own the decisions, the disk and the connections. */
-import { createStateNode, NodeActionKind, NodeEventKind, StateReplyKind, StateRole } from "@cassiapick/core";
+import { createStateNode, NodeActionKind, NodeEventKind, PeerMessageKind, StateReplyKind, StateRole } from "@cassiapick/core";
 import type {
     CreateStateNodeCfg,
     NodeAction,
@@ -56,6 +56,12 @@
 const isWrite = (action: NodeAction): action is WriteAction =>
     action.kind !== NodeActionKind.Send && action.kind !== NodeActionKind.Reply;
 
+const peerKinds: ReadonlySet<unknown> = new Set(Object.values(PeerMessageKind));
+
+/** Whether this version knows the kind; a newer peer may send others during an upgrade. */
+const isPeerMessage = (body: unknown): body is PeerMessage =>
+    typeof body === "object" && body !== null && "kind" in body && peerKinds.has(body.kind);
+
 /** Starts a state host that serves once the promise resolves. */
 export const startStateHost = async (options: StateHostOptions): Promise<StateHost> => {
     const others = options.peers.filter(peer => peer.hostId !== options.hostId);
@@ -157,8 +163,8 @@
         requests: { [stateChannel]: request },
         notices: {
             [peerChannel]: (body, from) => {
-                if (clients.has(from)) {
-                    push({ kind: NodeEventKind.Message, from, message: body as PeerMessage });
+                if (clients.has(from) && isPeerMessage(body)) {
+                    push({ kind: NodeEventKind.Message, from, message: body });
                 }
             },
         },
