--- a/packages/baseline/src/index.ts
+++ b/packages/baseline/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./lib/naive-detector.js";
 export * from "./lib/naive-directory.js";
 export * from "./lib/naive-folder.js";
+export * from "./lib/naive-membership.js";
 export * from "./lib/naive-retry.js";
 export * from "./lib/naive-scheduler.js";
 export * from "./lib/naive-state.js";
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,4 +1,5 @@
 /** Every measurement by name. */
+import { measureAddedTime } from "./added-time.js";
 import { measureClaims } from "./claims.js";
 import { measureDetection } from "./detection.js";
 import type { Measurement } from "./measurement.js";
@@ -8,6 +9,7 @@
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
+    "added-time": measureAddedTime,
     "slopes": measureSlopes,
     "detection": measureDetection,
     "overload": measureOverload,
--- a/packages/proofs/src/lib/registry.ts
+++ b/packages/proofs/src/lib/registry.ts
@@ -4,6 +4,7 @@
 import { proveDetection } from "./detection.js";
 import { proveFloor } from "./floor.js";
 import { proveLeaving } from "./leaving.js";
+import { proveMembership } from "./membership.js";
 import { proveOverload } from "./overload.js";
 import type { Proof } from "./proof.js";
 import { proveRecovery } from "./recovery.js";
@@ -13,6 +14,7 @@
 /** The proofs that `npm run prove` knows. */
 export const proofs: Readonly<Record<string, Proof>> = {
     "leaving": proveLeaving,
+    "membership": proveMembership,
     "whole-answer": proveWholeAnswer,
     "config": proveConfig,
     "at-most-once": proveAtMostOnce,
