Hand waiting events to the actor together; split the entry node

Read-through: the announcements stood inside the entry node, the hash of names stood twice, and a pool made later than its tables did not know its share. Ruled out: the scheduler (nothing queued while slow), connections made anew (kept after the first answer).

--- a/packages/core/src/lib/claims/roster.ts
+++ b/packages/core/src/lib/claims/roster.ts
@@ -1,5 +1,7 @@
 /** The roster of entry hosts, and which of them are the replicas of a key. */
 
+import { hash32, mix32 } from "../hash.js";
+
 /** An entry host that may be a replica. */
 export interface ClaimHost {
     hostId: string;
@@ -23,25 +25,6 @@
 /** Replicas of each key; fewer only where the list has fewer hosts. */
 const replicaCount = 3;
 
-const fnvOffset = 0x811c9dc5;
-const fnvPrime = 0x01000193;
-
-const mix = (hash: number): number => {
-    let mixed = hash;
-    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
-    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-    return (mixed ^ (mixed >>> 16)) >>> 0;
-};
-
-/** FNV-1a with a final mix: FNV alone hardly spreads keys that differ in the last character. */
-const hashText = (text: string, seed: number): number => {
-    let hash = seed;
-    for (let index = 0; index < text.length; index += 1) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-    }
-    return mix(hash);
-};
-
 /** Votes that a set of replicas must give. */
 export const majorityOf = (size: number): number => Math.floor(size / 2) + 1;
 
@@ -58,7 +41,7 @@
 /** Prepares a list: rendezvous hashing in both availability zones of the first host's region and in one other region. */
 export const createHostList = (hosts: ClaimHost[]): HostList => {
     const sorted = [...hosts].sort((a, b) => a.hostId < b.hostId ? -1 : 1);
-    const seeds = sorted.map(host => hashText(host.hostId, fnvOffset));
+    const seeds = sorted.map(host => hash32(host.hostId));
 
     const bestOf = (scores: number[], taken: ClaimHost[], fits: (host: ClaimHost) => boolean): ClaimHost | undefined => {
         let best = -1;
@@ -71,8 +54,8 @@
     };
 
     const replicasOf = (claimId: string): string[] => {
-        const keyHash = hashText(claimId, fnvOffset);
-        const scores = seeds.map(seed => mix(seed ^ keyHash));
+        const keyHash = hash32(claimId);
+        const scores = seeds.map(seed => mix32(seed ^ keyHash));
         const first = bestOf(scores, [], () => true);
         if (first === undefined) {
             return [];
--- a/packages/core/src/lib/entry/entry-node.ts
+++ b/packages/core/src/lib/entry/entry-node.ts
@@ -1,10 +1,9 @@
 /** One whole entry host as a state machine: every event of the process goes in, every effect comes out. */
 import type { Announcement } from "../backend-server.js";
-import { createDirectory, DirectoryChangeKind } from "../directory/directory.js";
+import { createAnnouncementDesk } from "../directory/announcement-desk.js";
+import type { AnnouncementResult } from "../directory/announcement-desk.js";
+import { DirectoryChangeKind } from "../directory/directory.js";
 import type { DirectoryChange } from "../directory/directory.js";
-import { RelayMessageKind } from "../directory/relay.js";
-import type { ClockEcho, RelayMessage } from "../directory/relay.js";
-import { createRelayer } from "../directory/relayer.js";
 import { HostState } from "../membership/host-record.js";
 import type { HostInfo } from "../membership/host-record.js";
 import { createMembership, MembershipActionKind, MembershipEventKind } from "../membership/membership.js";
@@ -60,13 +59,22 @@
 export const createEntryNode = (cfg: EntryNodeCfg): EntryNode => {
     const { self } = cfg;
     const membership = createMembership(cfg);
-    const directory = createDirectory();
-    const relayer = createRelayer();
+
+    const announceTargets = (announcement: Announcement): HostInfo[] => {
+        const hosts = membership.usable();
+        return [...new Set(announcement.services.flatMap(service => holdersOf(service, announcement.region, hosts)))];
+    };
+
+    const desk = createAnnouncementDesk({
+        hostId: self.hostId,
+        incarnation: cfg.incarnation,
+        holdersOf: announcement => announceTargets(announcement).map(host => host.hostId),
+    });
     const pools = createPoolSet({
         region: self.region,
         availabilityZone: self.availabilityZone,
         random: cfg.random,
-        members: service => directory.members(service, self.region),
+        members: service => desk.directory.members(service, self.region),
     });
     let tables: VersionedTables | undefined;
     let routes = createRouteTable(undefined);
@@ -155,51 +163,14 @@
             const kind = directoryNotes[change.kind];
             return kind === undefined ? [] : [note(kind, change.announcement.id, change.announcement.services.join(","))];
         });
-        return [...notes, ...applyPoolChanges(pools.refresh(services, now), now)];
-    };
-
-    const announceTargets = (announcement: Announcement): HostInfo[] => {
-        const hosts = membership.usable();
-        return [...new Set(announcement.services.flatMap(service => holdersOf(service, announcement.region, hosts)))];
+        // A pool that has just got its first member does not know its share yet.
+        return [...notes, ...applyPoolChanges(pools.refresh(services, now), now), ...refreshShares(now)];
     };
 
-    /** When the backend server certainly sent the announcement, on this host's clock. */
-    const sentAt = (echo: ClockEcho | undefined, now: number): number | undefined =>
-        echo?.incarnation === cfg.incarnation ? Math.min(now, echo.clock + echo.elapsedMs) : undefined;
-
-    const announce = (announcement: Announcement, echo: ClockEcho | undefined, now: number): EntryAction[] => {
-        const heardAt = sentAt(echo, now);
-        if (heardAt === undefined) {
-            // It may have been held up for any time on its way. Its answer brings the clock for the next one.
-            return [];
-        }
-        const holders = announceTargets(announcement).map(host => host.hostId);
-        const isHolder = holders.includes(self.hostId);
-        const changes = isHolder ? directory.announce(announcement, { validFrom: heardAt }, now) : [];
-        // A holder is told directly, and so are the others: it relays changes, for speed, but no renewals.
-        const isWorthRelaying = !isHolder || changes.length > 0;
-        const remote = isWorthRelaying ? holders.filter(hostId => hostId !== self.hostId) : [];
-        const relays = relayer.relay(announcement, heardAt, remote)
-            .map(({ toHostId, message }) => send(toHostId, { kind: FleetMessageKind.Relay, message }));
-        return [...relays, ...applyDirectory(changes, now)];
-    };
-
-    const onRelay = (fromHostId: string, message: RelayMessage, now: number): EntryAction[] => {
-        if (message.kind === RelayMessageKind.RelayAck) {
-            return relayer.onAck(fromHostId, message, now)
-                .map(relayed => send(relayed.toHostId, { kind: FleetMessageKind.Relay, message: relayed.message }));
-        }
-        const validFrom = sentAt(message.echo, now);
-        const ack: RelayMessage = {
-            kind: RelayMessageKind.RelayAck,
-            serverId: message.announcement.id,
-            incarnation: cfg.incarnation,
-            clock: now,
-            again: validFrom === undefined,
-        };
-        const changes = validFrom === undefined ? [] : directory.announce(message.announcement, { validFrom }, now);
-        return [send(fromHostId, { kind: FleetMessageKind.Relay, message: ack }), ...applyDirectory(changes, now)];
-    };
+    const applyAnnouncement = ({ changes, relays }: AnnouncementResult, now: number): EntryAction[] => [
+        ...relays.map(({ toHostId, message }) => send(toHostId, { kind: FleetMessageKind.Relay, message })),
+        ...applyDirectory(changes, now),
+    ];
 
     const applyMembership = (action: MembershipAction): EntryAction =>
         action.kind === MembershipActionKind.Send
@@ -215,7 +186,7 @@
     const onMessage = (fromHostId: string, message: FleetMessage, now: number): EntryAction[] => {
         switch (message.kind) {
             case FleetMessageKind.Relay:
-                return onRelay(fromHostId, message.message, now);
+                return applyAnnouncement(desk.receive(fromHostId, message.message, now), now);
             case FleetMessageKind.Claim:
                 return claims.receive(fromHostId, message.message, now);
             case FleetMessageKind.Evidence: {
@@ -275,7 +246,7 @@
             case EntryEventKind.CallerGone:
                 return flow.callerGone(event.requestId, now);
             case EntryEventKind.Announce:
-                return announce(event.announcement, event.echo, now);
+                return applyAnnouncement(desk.announce(event.announcement, event.echo, now), now);
             case EntryEventKind.Message:
                 return onMessage(event.fromHostId, event.message, now);
             case EntryEventKind.Tables:
@@ -293,7 +264,7 @@
     const step = (
         event: EntryEvent,
         now: number,
-    ): EntryAction[] => [...applyDirectory(directory.expire(now), now), ...handle(event, now)];
+    ): EntryAction[] => [...applyDirectory(desk.directory.expire(now), now), ...handle(event, now)];
 
     const addresses = (brand: string | undefined, kind: string | undefined): HostInfo[] => {
         const hosts = membership.usable();
--- a/packages/core/src/lib/hash.ts
+++ b/packages/core/src/lib/hash.ts
@@ -4,7 +4,7 @@
 const prime = 0x01000193;
 
 /** Mixes the bits of a 32-bit integer, so that near inputs give far outputs (the finaliser of MurmurHash3). */
-const mix32 = (value: number): number => {
+export const mix32 = (value: number): number => {
     let mixed = value;
     mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
     mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
--- a/packages/entry/src/lib/node-actor.ts
+++ b/packages/entry/src/lib/node-actor.ts
@@ -33,10 +33,29 @@
         }
     };
 
-    const actor = spawn(system, (_state: undefined, event: EntryEvent) => handle(event) as undefined, "entry-node");
+    let waiting: EntryEvent[] = [];
+
+    const handleWaiting = (): undefined => {
+        const events = waiting;
+        waiting = [];
+        for (const event of events) {
+            handle(event);
+        }
+        return undefined;
+    };
+
+    const actor = spawn(system, (_state: undefined, _wake: undefined) => handleWaiting(), "entry-node");
+
+    const send = (event: EntryEvent): void => {
+        // The mailbox hands over one message a turn of the event loop, and under load a turn serves many sockets. So one
+        // message stands for all the events that have come until it is handled.
+        if (waiting.push(event) === 1) {
+            dispatch(actor, undefined);
+        }
+    };
 
     return {
-        send: event => dispatch(actor, event),
+        send,
         stop: () => stop(system),
     };
 };
--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -13,10 +13,7 @@
 } from "@cassiapick/core";
 import type { EntryAction, EntryEvent, FleetMessage, HostInfo, WatchRequest } from "@cassiapick/core";
 import { createEventLog, readTokenFile } from "@cassiapick/platform";
-import type { EventName } from "@cassiapick/platform";
 import { createRpcClient, createRpcServer } from "@cassiapick/wire";
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createAdminServer } from "./admin-server.js";
 import { createAttemptRunner } from "./attempt-runner.js";
@@ -27,7 +24,9 @@
 import type { EntrySettings } from "./entry-settings.js";
 import { buildEntryStatus } from "./entry-status.js";
 import { createFleetLinks } from "./fleet-links.js";
+import { closeServer, listen } from "./http-listen.js";
 import { createNodeActor } from "./node-actor.js";
+import { noteEvents } from "./note-events.js";
 import { createTablesRelay, createTablesWatcher, stateChannel } from "./tables-watcher.js";
 
 /** A running entry host. */
@@ -44,31 +43,6 @@
 const leaveSpreadMs = 1500;
 const drainPollMs = 20;
 
-const noteEvents: Readonly<Record<NoteKind, EventName>> = {
-    [NoteKind.ServerJoined]: "serverJoined",
-    [NoteKind.ServerLeft]: "serverLeft",
-    [NoteKind.ServerEjected]: "serverEjected",
-    [NoteKind.ServerReadmitted]: "serverReadmitted",
-    [NoteKind.FloorReached]: "floorReached",
-    [NoteKind.TablesInForce]: "tablesInForce",
-    [NoteKind.HostChanged]: "hostChanged",
-};
-
-const listen = (server: Server, port: number, host: string): Promise<number> =>
-    new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => {
-            server.off("error", reject);
-            resolve((server.address() as AddressInfo).port);
-        });
-    });
-
-const closeServer = (server: Server): Promise<void> =>
-    new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-    });
-
 /** Starts one entry host; resolves when it serves. */
 export const startEntry = async (settings: EntrySettings): Promise<RunningEntry> => {
     const startedAt = Date.now();
