Count requests in metrics, and measure killed and stopped entry hosts

Cause: /metrics showed one gauge only; at most once had not been seen with real processes that are killed and stopped.

--- a/packages/demo/src/lib/run-once.ts
+++ b/packages/demo/src/lib/run-once.ts
@@ -138,7 +138,7 @@
     return {
         requests: sum(counts => counts.requests),
         whole: sum(counts => counts.wholeAnswers),
-        doubled: confirmed.filter(mark => (runs[mark] ?? 0) > 1).length,
+        doubled: all.flatMap(counts => counts.keyedMarks).filter(mark => (runs[mark] ?? 0) > 1).length,
         // A request that never got an answer, and a confirmed one that nobody ran, are as bad as a cut answer.
         cut: sum(counts => counts.cut + counts.failed) + confirmed.filter(mark => runs[mark] === undefined).length,
         problems: all.flatMap(counts => counts.firstProblems),
--- a/packages/entry/src/lib/admin-server.ts
+++ b/packages/entry/src/lib/admin-server.ts
@@ -26,7 +26,7 @@
     services: () => string[];
     onAnnounce: (announcement: Announcement, echo: ClockEcho | undefined) => AnnounceReply;
     status: () => unknown;
-    metrics: () => Promise<string> | string;
+    metrics: () => Promise<string>;
 }
 
 /** The path at which backend servers announce themselves; the id follows. */
--- a/packages/entry/src/lib/caller-book.ts
+++ b/packages/entry/src/lib/caller-book.ts
@@ -1,6 +1,7 @@
 /** The callers that wait for an answer, and the count of how they were answered. */
 import { AttemptClass, BurnOutcome, Outcome, RefusalKind } from "@cassiapick/core";
 import type { BurnFaultKind, BurnStatus, Refusal, StoredAnswer } from "@cassiapick/core";
+import { createMetrics } from "@cassiapick/platform";
 import { createBurnCounter } from "./burn-counter.js";
 import { ExchangeEnd } from "./exchange.js";
 import type { ExchangeResult } from "./exchange.js";
@@ -32,7 +33,7 @@
     finishStreamed(caller: OpenCaller, whole: boolean): void;
     size(): number;
     burn(): BurnStatus;
-    metrics(): string;
+    metrics(): Promise<string>;
 }
 
 const firstServerError = 500;
@@ -41,6 +42,8 @@
 export const createCallerBook = (options: CallerBookOptions): CallerBook => {
     const callers = new Map<string, OpenCaller>();
     const counter = createBurnCounter(options.startedAt);
+    const metrics = createMetrics({ now: options.now });
+    metrics.addGauge("cassiapick_open_requests", "Requests that wait for an answer.", () => callers.size);
     const answers = createCallerAnswers({ hostId: options.hostId, isDraining: options.isDraining });
 
     const close = (caller: OpenCaller, outcome: BurnOutcome, fault?: BurnFaultKind): void => {
@@ -49,6 +52,7 @@
         // Only the host that took the request from its caller counts it, so that the counts of all hosts add up.
         if (!caller.isPassedOn && destination !== undefined) {
             const durationMs = options.now() - caller.arrivedAt;
+            metrics.record({ service: destination, brandClass: caller.info.brand, outcome, durationMs });
             counter.count(
                 { brand: caller.info.brand, destination, outcome, durationMs, serverId: caller.lastServerId, fault },
                 Date.now(),
@@ -139,6 +143,6 @@
         finishStreamed,
         size: () => callers.size,
         burn: () => counter.status(Date.now()),
-        metrics: () => `cassiapick_open_requests ${callers.size}\n`,
+        metrics: () => metrics.render(),
     };
 };
--- a/packages/entry/src/test/admin-server_test.ts
+++ b/packages/entry/src/test/admin-server_test.ts
@@ -88,7 +88,7 @@
                 return { leaseMs: 1, again: false, echo: { incarnation: 1, clock: 1 }, announceTo: [] };
             },
             status: () => ({}),
-            metrics: () => "",
+            metrics: () => Promise.resolve("cassiapick_open_requests 0"),
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
         origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -112,6 +112,12 @@
         });
     }
 
+    it("shows its metrics to operators", async () => {
+        const res = await request(`${origin}/metrics`, { headers: { authorization: "Bearer operator" } });
+        expect(await res.body.text()).to.contain("cassiapick_open_requests");
+        expect(res.statusCode).to.equal(200);
+    });
+
     it("shows its status to operators only", async () => {
         const statuses: number[] = [];
         for (const token of ["operator", "new", ""]) {
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,6 +2,7 @@
 import { measureAddedTime } from "./added-time.js";
 import { measureClaims } from "./claims.js";
 import { measureDetection } from "./detection.js";
+import { measureKilledHosts } from "./killed-hosts.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
 import { measureRestart } from "./restart.js";
@@ -9,6 +10,7 @@
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
+    "killed-hosts": measureKilledHosts,
     "added-time": measureAddedTime,
     "slopes": measureSlopes,
     "detection": measureDetection,
--- a/packages/standins/src/caller-main.ts
+++ b/packages/standins/src/caller-main.ts
@@ -29,5 +29,5 @@
 });
 await sleep(seconds * msPerSecond);
 await caller.stop();
-const { durationsMs, confirmedMarks, ...counts } = caller.counts;
-console.log(JSON.stringify({ ...counts, timed: durationsMs.length, confirmed: confirmedMarks.length }));
+const { durationsMs, keyedMarks, confirmedMarks, ...counts } = caller.counts;
+console.log(JSON.stringify({ ...counts, timed: durationsMs.length, keyed: keyedMarks.length, confirmed: confirmedMarks.length }));
--- a/packages/standins/src/lib/caller-stand-in.ts
+++ b/packages/standins/src/lib/caller-stand-in.ts
@@ -38,6 +38,8 @@
     refusals: number;
     /** Times of whole answers, in milliseconds. */
     durationsMs: number[];
+    /** Marks of all keyed requests. */
+    keyedMarks: string[];
     /** Marks of keyed requests with a whole answer. */
     confirmedMarks: string[];
     firstProblems: string[];
@@ -70,6 +72,7 @@
         cut: 0,
         refusals: 0,
         durationsMs: [],
+        keyedMarks: [],
         confirmedMarks: [],
         firstProblems: [],
     };
@@ -159,6 +162,9 @@
         const mark = `${options.name}-${nextMark}`;
         nextMark += 1;
         counts.requests += 1;
+        if (kind.keyed) {
+            counts.keyedMarks.push(mark);
+        }
         const startedAt = performance.now();
         for (let tries = 0; tries < maxTries; tries += 1) {
             const urls = await addressesFor(kind);
