Use one fake clock for all proofs

Cause: read-through: four proofs each had a heap of their own for fake time. Change: timeline.ts serves all; the others are gone.

--- a/packages/proofs/src/lib/at-most-once-callers.ts
+++ b/packages/proofs/src/lib/at-most-once-callers.ts
@@ -5,7 +5,7 @@
 import type { Ledger, Sending } from "./at-most-once-ledger.js";
 import { activeMs } from "./at-most-once-plan.js";
 import type { FaultPlan } from "./at-most-once-plan.js";
-import type { Timeline } from "./at-most-once-timeline.js";
+import type { Timeline } from "./timeline.js";
 
 /** Options of {@link createCallers}. */
 export interface CallersOptions {
--- a/packages/proofs/src/lib/at-most-once-fleet.ts
+++ b/packages/proofs/src/lib/at-most-once-fleet.ts
@@ -3,7 +3,7 @@
 import type { ClaimAction, ClaimEvent, ClaimHost, ClaimNode, ClaimNodeCfg, ClaimRoster, Random } from "@cassiapick/core";
 import { initialHosts } from "./at-most-once-plan.js";
 import type { FaultPlan, Span } from "./at-most-once-plan.js";
-import type { Timeline } from "./at-most-once-timeline.js";
+import type { Timeline } from "./timeline.js";
 
 /** Makes a claim node; the naive version and ours. */
 export type CreateNode = (cfg: ClaimNodeCfg) => ClaimNode;
--- a/packages/proofs/src/lib/at-most-once.ts
+++ b/packages/proofs/src/lib/at-most-once.ts
@@ -7,8 +7,8 @@
 import { createLedger } from "./at-most-once-ledger.js";
 import type { Ledger } from "./at-most-once-ledger.js";
 import { activeMs, drawPlan, FaultMix } from "./at-most-once-plan.js";
-import { createTimeline } from "./at-most-once-timeline.js";
 import type { Proof } from "./proof.js";
+import { createTimeline } from "./timeline.js";
 
 /** Cases of each mix of faults. */
 const casesOf: Record<FaultMix, number> = {
@@ -39,7 +39,7 @@
         onAction: (action, hostId) => callers.onAction(action, hostId),
     });
     callers.start();
-    timeline.runUntil(activeMs + afterwardsMs);
+    timeline.run(activeMs + afterwardsMs);
     return ledger;
 };
 
--- a/packages/proofs/src/lib/config-cluster.ts
+++ b/packages/proofs/src/lib/config-cluster.ts
@@ -1,8 +1,8 @@
 /** A cluster of state hosts in fake time, with processes, disks and links that fail on command. */
 import { createRandom } from "@cassiapick/core";
 import type { Random, StateReply, StateRequest } from "@cassiapick/core";
-import type { FakeClock } from "./config-clock.js";
 import type { CreateDisk, HostAction, HostDisk, HostProcess } from "./config-contender.js";
+import type { Timeline } from "./timeline.js";
 
 const tickMs = 4;
 /** A detour takes up to this many times as long. */
@@ -69,7 +69,7 @@
     hosts: number;
     snapshotEvery: number;
     createDisk: CreateDisk;
-    clock: FakeClock;
+    clock: Timeline;
     random: Random;
     faults: LinkFaults;
 }
--- a/packages/proofs/src/lib/config-faults.ts
+++ b/packages/proofs/src/lib/config-faults.ts
@@ -1,7 +1,7 @@
 /** Draws the faults that strike a cluster: crashes, stops, cuts in one direction, lost disks, two losses in a row. */
 import type { Random } from "@cassiapick/core";
-import type { FakeClock } from "./config-clock.js";
 import type { Cluster } from "./config-cluster.js";
+import type { Timeline } from "./timeline.js";
 
 const maxPauseBetweenMs = 200;
 const maxOutageMs = 400;
@@ -11,7 +11,7 @@
 /** What the faults of one case share. */
 export interface FaultOptions {
     cluster: Cluster;
-    clock: FakeClock;
+    clock: Timeline;
     random: Random;
     /** When the last fault begins, in milliseconds. */
     untilMs: number;
--- a/packages/proofs/src/lib/config-operators.ts
+++ b/packages/proofs/src/lib/config-operators.ts
@@ -2,8 +2,8 @@
 import { DetectionMode, noVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { ApplyRequest, Random, StateReply, Tables, Version } from "@cassiapick/core";
 import type { ConfigChecker } from "./config-checker.js";
-import type { FakeClock } from "./config-clock.js";
 import type { Cluster } from "./config-cluster.js";
+import type { Timeline } from "./timeline.js";
 
 const maxThinkMs = 20;
 const answerTimeoutMs = 100;
@@ -21,7 +21,7 @@
 /** What the operators of one case share. */
 export interface OperatorOptions {
     cluster: Cluster;
-    clock: FakeClock;
+    clock: Timeline;
     random: Random;
     checker: ConfigChecker;
     /** When the operators stop, in milliseconds. */
--- a/packages/proofs/src/lib/config.ts
+++ b/packages/proofs/src/lib/config.ts
@@ -3,7 +3,6 @@
 import type { Random } from "@cassiapick/core";
 import { createConfigChecker } from "./config-checker.js";
 import type { ConfigChecker } from "./config-checker.js";
-import { createFakeClock } from "./config-clock.js";
 import { createCluster, soundLinks } from "./config-cluster.js";
 import type { Cluster, LinkFaults, Strikes } from "./config-cluster.js";
 import { createNaiveDisk, createOwnDisk } from "./config-contender.js";
@@ -11,6 +10,7 @@
 import { startFaults } from "./config-faults.js";
 import { startOperator } from "./config-operators.js";
 import type { Proof } from "./proof.js";
+import { createTimeline } from "./timeline.js";
 
 const cases = 60;
 const maxSeed = 2 ** 31;
@@ -85,7 +85,7 @@
 }
 
 const runCase = (plan: CasePlan, createDisk: CreateDisk): CaseResult => {
-    const clock = createFakeClock();
+    const clock = createTimeline();
     const random = createRandom(plan.seed);
     const checker = createConfigChecker();
     const cluster = createCluster({ ...plan, createDisk, clock, random: createRandom(random.below(maxSeed)) });
@@ -95,10 +95,10 @@
         startOperator(`operator-${index}`, { cluster, clock, random: own, checker, untilMs: faultsEndMs });
     }
     restartCrashed(cluster, clock);
-    clock.runUntil(outagesEndMs);
+    clock.run(outagesEndMs);
     cluster.setFaults(soundLinks);
-    clock.runUntil(outagesEndMs + settleMs);
-    checkEnd(cluster, checker, untilMs => clock.runUntil(untilMs));
+    clock.run(outagesEndMs + settleMs);
+    checkEnd(cluster, checker, untilMs => clock.run(untilMs));
     return { violations: checker.violations(), accepted: checker.acceptedCount(), strikes: cluster.struck() };
 };
 
--- a/packages/proofs/src/lib/detection-pool.ts
+++ b/packages/proofs/src/lib/detection-pool.ts
@@ -1,9 +1,9 @@
 /** A small fake pool under fake time: hosts that pick and detect, and backend servers that answer. */
 import { AttemptClass, computeEffectiveView, createRandom, DetectorActionKind, DetectorEventKind } from "@cassiapick/core";
 import type { DetectionMode, Detector, DetectorAction, EffectiveView, Random } from "@cassiapick/core";
-import { createEventQueue } from "./detection-events.js";
 import { faultHandlers, Trouble, troubleHandlers } from "./detection-faults.js";
 import type { Fault, Served } from "./detection-faults.js";
+import { createTimeline } from "./timeline.js";
 
 /** Options of {@link runFakePool}. */
 export interface FakePoolCfg {
@@ -82,7 +82,7 @@
 /** Runs one fake pool. */
 export const runFakePool = (cfg: FakePoolCfg): FakePoolResult => {
     const random = createRandom(cfg.seed);
-    const queue = createEventQueue();
+    const queue = createTimeline();
     const result: FakePoolResult = { ejections: [], sends: [], requests: 0, refused: 0 };
     const members: FakeMember[] = Array.from({ length: cfg.regions * cfg.membersPerRegion }, (_, index) => ({
         id: `server-${index}`,
@@ -291,7 +291,7 @@
     };
     const end = cfg.warmUpMs + cfg.runMs;
     while (queue.now() < end && !isDone()) {
-        queue.runUntil(Math.min(end, queue.now() + sliceMs));
+        queue.run(Math.min(end, queue.now() + sliceMs));
     }
     return result;
 };
--- a/packages/proofs/src/lib/overload-fakes.ts
+++ b/packages/proofs/src/lib/overload-fakes.ts
@@ -1,7 +1,7 @@
 /** Small fakes around the real scheduler and retry policy: backend servers with slots, and an entry host. */
 import { AttemptClass, NextStepKind, SchedulerActionKind, SchedulerEventKind } from "@cassiapick/core";
 import type { AttemptEnd, RetryPolicy, Scheduler, SchedulerAction, SchedulerEvent } from "@cassiapick/core";
-import type { Timeline } from "./overload-timeline.js";
+import type { Timeline } from "./timeline.js";
 
 /** A backend server that runs at most `slots` requests and sheds the rest. */
 export interface FakeServer {
--- a/packages/proofs/src/lib/overload.ts
+++ b/packages/proofs/src/lib/overload.ts
@@ -4,8 +4,8 @@
 import type { Random, RetryPolicy, Scheduler } from "@cassiapick/core";
 import { AnswerKind, createFakeEntry, createFakeServer } from "./overload-fakes.js";
 import type { FakeAnswer, FakeRequest, FakeServer } from "./overload-fakes.js";
-import { createTimeline } from "./overload-timeline.js";
 import type { Proof } from "./proof.js";
+import { createTimeline } from "./timeline.js";
 
 /** Multiples of what the backend servers can do. */
 const loads = [0.5, 0.7, 0.9, 1.5, 2, 3];
--- a/packages/proofs/src/lib/truthful-refusal-entry.ts
+++ b/packages/proofs/src/lib/truthful-refusal-entry.ts
@@ -1,7 +1,7 @@
 /** Drives a scheduler and a retry policy as an entry host does: attempts, hedges, cancellation, answers. */
 import { AttemptClass, NextStepKind, Outcome, SchedulerActionKind, SchedulerEventKind } from "@cassiapick/core";
 import type { Random, RetryPolicy, Scheduler, SchedulerAction, SchedulerEvent } from "@cassiapick/core";
-import type { Timeline } from "./overload-timeline.js";
+import type { Timeline } from "./timeline.js";
 import { startRun } from "./truthful-refusal-server.js";
 import type { FakeRun } from "./truthful-refusal-server.js";
 
--- a/packages/proofs/src/lib/truthful-refusal-server.ts
+++ b/packages/proofs/src/lib/truthful-refusal-server.ts
@@ -1,7 +1,7 @@
 /** A fake backend server that runs a request or not, and tells the truth, nothing, or too late. */
 import { AttemptClass } from "@cassiapick/core";
 import type { Random } from "@cassiapick/core";
-import type { Timeline } from "./overload-timeline.js";
+import type { Timeline } from "./timeline.js";
 
 /** What becomes of one attempt. Times are in milliseconds. */
 export interface Behaviour {
--- a/packages/proofs/src/lib/truthful-refusal.ts
+++ b/packages/proofs/src/lib/truthful-refusal.ts
@@ -2,8 +2,8 @@
 import { createNaiveRetryPolicy, createNaiveScheduler } from "@cassiapick/baseline";
 import { createRandom, createRetryPolicy, createScheduler, Outcome, SchedulerEventKind } from "@cassiapick/core";
 import type { Random, RetryPolicy, Scheduler, SchedulerMember } from "@cassiapick/core";
-import { createTimeline } from "./overload-timeline.js";
 import type { Proof } from "./proof.js";
+import { createTimeline } from "./timeline.js";
 import { createTrackedEntry } from "./truthful-refusal-entry.js";
 import type { TrackedRequest } from "./truthful-refusal-entry.js";
 
