Find an ill member that gets all the requests of a quiet pool

Cause: a test of edited pools showed that one request at a time always goes to the same member of the own availability zone; when that one was ill, nothing showed whether the others do better, so it was never ejected. The detector asked for less weight there, but the scheduler was told only when a suspicion changed. Ruled out: spreading requests at all times (it costs bytes between zones). Change: changed weights reach the scheduler with the next tick, and a member in doubt is picked last; another detection mode starts detection afresh.

--- a/packages/core/src/lib/entry/pool-node.ts
+++ b/packages/core/src/lib/entry/pool-node.ts
@@ -94,6 +94,8 @@
 const maxAttempts = 3;
 const queueLimit = 256;
 const defaultShedPauseMs = 200;
+/** Below this share of its slots a member is in doubt, or has only just been re-admitted. */
+const doubtfulWeight = 0.3;
 
 const nothing: PoolResult = { scheduled: [], notes: [], reports: [] };
 
@@ -102,10 +104,12 @@
     let pool = cfg.pool;
     let members: Announcement[] = [];
     let view: EffectiveView = { healthy: [], keptByFloor: [], ejected: [] };
-    const detector = createDetector({ mode: pool.detection, random: cfg.random });
+    let detector = createDetector({ mode: pool.detection, random: cfg.random });
     const scheduler = createScheduler({ region: cfg.region, availabilityZone: cfg.availabilityZone, queueLimit });
     const retries = createRetryPolicy({ maxAttempts });
 
+    /** The weights that the scheduler was last told. */
+    let usedWeights = new Map<string, number>();
     const startedAt = new Map<string, { requestKind: string; at: number; }>();
     const wantedProbes = new Map<string, number>();
 
@@ -131,6 +135,7 @@
 
     const refresh = (now: number): PoolResult => {
         const before = view;
+        usedWeights = new Map(members.map(member => [member.id, detector.weight(member.id)]));
         view = computeEffectiveView({
             members: members.map(member => ({ serverId: member.id, slots: member.slots, cold: member.cold })),
             suspicions: detector.suspicions(),
@@ -145,7 +150,8 @@
             // During probation a member gets part of its slots, and never less than one.
             slots: Math.max(1, Math.round(member.slots * detector.weight(member.id))),
             cold: member.cold,
-            keptByFloor: kept.has(member.id),
+            // A member in doubt is picked last too: its requests go to others, which shows whether these do better.
+            keptByFloor: kept.has(member.id) || detector.weight(member.id) < doubtfulWeight,
         }));
         return {
             scheduled: scheduler.step({ kind: SchedulerEventKind.Members, members: usable }, now),
@@ -174,6 +180,12 @@
         return changed ? { ...refresh(now), reports } : { ...nothing, reports };
     };
 
+    /** A member falls into doubt, or leaves probation, without an event of its own. */
+    const refreshWeights = (now: number): PoolResult => {
+        const isChanged = members.some(member => detector.weight(member.id) !== usedWeights.get(member.id));
+        return isChanged ? refresh(now) : nothing;
+    };
+
     const join = (...results: PoolResult[]): PoolResult => ({
         scheduled: results.flatMap(result => result.scheduled),
         notes: results.flatMap(result => result.notes),
@@ -234,6 +246,19 @@
         return undefined;
     };
 
+    const setPool = (next: Pool, now: number): PoolResult => {
+        const isOtherMode = next.detection !== pool.detection;
+        pool = next;
+        if (isOtherMode) {
+            // Evidence of one mode means nothing in the other, so detection starts afresh.
+            detector = createDetector({ mode: next.detection, random: cfg.random });
+            for (const { id, incarnation, cold } of members) {
+                detector.step({ kind: DetectorEventKind.Joined, serverId: id, incarnation, cold }, now);
+            }
+        }
+        return refresh(now);
+    };
+
     return {
         submit: (wish, now) => {
             if (wish.tried.length === 0) {
@@ -259,13 +284,11 @@
         setShare: (share, now) => onlySchedule(scheduler.step({ kind: SchedulerEventKind.Share, share }, now)),
         cancelQueued: (attemptId, now) => onlySchedule(scheduler.step({ kind: SchedulerEventKind.Cancel, attemptId }, now)),
         setMembers,
-        setPool: (next, now) => {
-            pool = next;
-            return refresh(now);
-        },
+        setPool,
         tick: now =>
             join(
                 detect({ kind: DetectorEventKind.Tick }, now),
+                refreshWeights(now),
                 onlySchedule(scheduler.step({ kind: SchedulerEventKind.Tick }, now)),
             ),
         memberCount: () => members.length,
