Grow the state hosts by a fleet view, published configurations and changing voters

Cause: on the users' platform state hosts come and go at new addresses, versions are chosen outside, and nobody but the fleet lists backend servers; the consensus knew a fixed list of hosts, its own versions only, and no servers. Change: EntryKind.Publish and Facts with a replicated fleet view; hosts that the log does not name may join, and voters that stay away are taken out while all others are heard; followers learn at once what is committed and how fresh their leader's majority is. The package 'platform' is now 'operations', which is what it holds. Ruled out: a list of voters fixed at the first start, since a removed host's successor has another address.

--- a/packages/core/src/lib/consensus/configuration-machine.ts
+++ b/packages/core/src/lib/consensus/configuration-machine.ts
@@ -1,4 +1,6 @@
 /** The state machine that the log drives: it decides which change wins. */
+import { createFleetMachine, emptyFleetState } from "../fleet/fleet-machine.js";
+import type { FleetMachine } from "../fleet/fleet-machine.js";
 import type { HistoryEntry } from "../state-messages.js";
 import { compareVersions, noVersion } from "../tables.js";
 import type { VersionedTables } from "../tables.js";
@@ -17,6 +19,8 @@
     apply(change: ProposedChange): DecidedChange;
     /** Decides an enrolment of an entry host. */
     enroll(enrollment: Enrollment): EnrollmentDecision;
+    /** The published configuration, the backend servers and the hosts. */
+    readonly fleet: FleetMachine;
     decided(changeId: string): DecidedChange | undefined;
     versioned(): VersionedTables;
     /** The latest accepted changes, newest first. */
@@ -41,6 +45,7 @@
     const decisions = new Map(initial.decided.map(decision => [decision.changeId, decision]));
     const history = [...initial.history];
     const roster = createRosterMachine(initial.roster);
+    const fleet = createFleetMachine(initial.fleet ?? emptyFleetState);
 
     const remember = (decision: DecidedChange): DecidedChange => {
         decisions.set(decision.changeId, decision);
@@ -75,6 +80,7 @@
     return {
         apply,
         enroll: enrollment => roster.enroll(enrollment),
+        fleet,
         decided: changeId => decisions.get(changeId),
         versioned: () => versioned,
         history: limit => history.slice(-Math.max(limit, 1)).reverse(),
@@ -84,6 +90,7 @@
             decided: [...decisions.values()],
             history: [...history],
             roster: roster.toState(),
+            fleet: fleet.toState(),
         }),
     };
 };
--- a/packages/core/src/lib/consensus/election.ts
+++ b/packages/core/src/lib/consensus/election.ts
@@ -1,6 +1,6 @@
 /** Elections: pre-votes first, so that an isolated host disturbs nobody, then votes that are remembered on disk. */
 import { StateRole } from "../state-messages.js";
-import { isVoter, passiveRole, quorumOf } from "./node-context.js";
+import { isVoter, otherVoters, passiveRole, quorumOf } from "./node-context.js";
 import type { NodeContext } from "./node-context.js";
 import { PeerMessageKind } from "./node-messages.js";
 import type { VoteMessage, VoteReplyMessage } from "./node-messages.js";
@@ -64,7 +64,7 @@
             lastIndex: ctx.log.lastIndex(),
             lastTerm: ctx.log.lastTerm(),
         };
-        for (const hostId of ctx.others) {
+        for (const hostId of otherVoters(ctx)) {
             ctx.send(hostId, message);
         }
     };
--- a/packages/core/src/lib/consensus/follower.ts
+++ b/packages/core/src/lib/consensus/follower.ts
@@ -26,7 +26,7 @@
     };
 
     /** Whether the sender leads the current term; an older leader is told so. */
-    const acceptLeader = (from: string, term: number, round: number): boolean => {
+    const acceptLeader = (from: string, term: number, round: number, quorumAgeMs: number): boolean => {
         if (ctx.hard.founding) {
             return false;
         }
@@ -36,6 +36,7 @@
         }
         election.follow(term, from);
         ctx.leaderHeardAt = ctx.now;
+        ctx.leaderQuorumAgeMs = quorumAgeMs;
         return true;
     };
 
@@ -78,7 +79,7 @@
     };
 
     const receiveAppend = (from: string, message: AppendMessage): void => {
-        if (!acceptLeader(from, message.term, message.round)) {
+        if (!acceptLeader(from, message.term, message.round, message.quorumAgeMs)) {
             return;
         }
         if (message.previousIndex < ctx.log.baseIndex()) {
@@ -97,7 +98,7 @@
     };
 
     const receiveSnapshot = (from: string, message: InstallSnapshotMessage): void => {
-        if (!acceptLeader(from, message.term, message.round)) {
+        if (!acceptLeader(from, message.term, message.round, 0)) {
             return;
         }
         const { snapshot } = message;
--- a/packages/core/src/lib/consensus/founding.ts
+++ b/packages/core/src/lib/consensus/founding.ts
@@ -3,7 +3,7 @@
 import { createMachineState } from "./configuration-machine.js";
 import { firstIncarnation } from "./log-entry.js";
 import type { Snapshot } from "./log-entry.js";
-import { isVoter } from "./node-context.js";
+import { hostsToAsk, isVoter } from "./node-context.js";
 import type { NodeContext } from "./node-context.js";
 import { NodeActionKind, PeerMessageKind } from "./node-messages.js";
 
@@ -46,7 +46,7 @@
     };
 
     const foundWhenAllAreFresh = (): void => {
-        if (ctx.hard.founding && fresh.size === ctx.others.length) {
+        if (ctx.hard.founding && fresh.size === ctx.contacts.size) {
             found();
         }
     };
@@ -56,7 +56,8 @@
             return;
         }
         askAt = ctx.now + ctx.timing.heartbeatMs;
-        for (const hostId of ctx.others) {
+        const hostIds = ctx.hard.founding ? [...ctx.contacts] : hostsToAsk(ctx);
+        for (const hostId of hostIds) {
             ctx.send(
                 hostId,
                 ctx.hard.founding
--- a/packages/core/src/lib/consensus/log-entry.ts
+++ b/packages/core/src/lib/consensus/log-entry.ts
@@ -1,4 +1,6 @@
 /** What the replicated log and the disk of a state host hold. */
+import type { Fact } from "../fleet/facts.js";
+import type { FleetState, Published } from "../fleet/fleet-machine.js";
 import type { HistoryEntry } from "../state-messages.js";
 import type { Tables, Version, VersionedTables } from "../tables.js";
 import type { Enrollment, RosterState } from "./roster-machine.js";
@@ -9,6 +11,10 @@
     Change = "change",
     /** An entry host has started. */
     Enroll = "enroll",
+    /** A configuration with a number that its operator chose. */
+    Publish = "publish",
+    /** What state hosts learned of backend servers and hosts. */
+    Facts = "facts",
     /** Takes the lost disk of a host out of the voters. */
     RemoveVoter = "remove-voter",
     /** Makes the new disk of a host a voter. */
@@ -29,6 +35,8 @@
     | { kind: EntryKind.Noop; }
     | { kind: EntryKind.Change; change: ProposedChange; }
     | { kind: EntryKind.Enroll; enrollment: Enrollment; }
+    | { kind: EntryKind.Publish; published: Published; }
+    | { kind: EntryKind.Facts; facts: Fact[]; }
     | { kind: EntryKind.RemoveVoter; hostId: string; }
     | { kind: EntryKind.AddVoter; hostId: string; incarnation: number; };
 
@@ -75,6 +83,8 @@
     /** The latest accepted changes, oldest first. */
     history: HistoryEntry[];
     roster: RosterState;
+    /** Absent in snapshots of versions that knew no fleet view. */
+    fleet?: FleetState;
 }
 
 /** Replaces the log up to and including `index`. */
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -20,11 +20,24 @@
 /** Times that suit 20 ms between regions and disks that sync within 100 ms. */
 export const defaultStateTiming: StateTiming = { heartbeatMs: 100, electionMs: 600, requestMs: 3000 };
 
+/** How voters that stay away are taken out. */
+export interface ReplacementCfg {
+    /** The least number of voters that stay: twice the disks that may be lost at once, and one. */
+    minVoters: number;
+    /** How long a voter is silent before it may be taken out, in milliseconds. */
+    absentMs: number;
+}
+
 /** Options of a state host's decisions. */
 export interface StateNodeCfg {
     hostId: string;
-    /** Every state host, this one included. */
+    /**
+     * The state hosts known at the start, this one included when it is one of them. A first start founds the fleet's state
+     * with exactly these; later they are only the first to ask, since the log says who votes.
+     */
     hostIds: readonly string[];
+    /** Whether hosts that the log does not name may join, and voters that stay away are replaced. */
+    replacement?: ReplacementCfg;
     stored: StoredState;
     random: Random;
     /** Wall-clock time in milliseconds since 1970, for the history only. */
@@ -37,7 +50,9 @@
 /** The state that the parts of one host read and change. */
 export interface NodeContext {
     readonly hostId: string;
-    readonly others: readonly string[];
+    /** The hosts of the start, without this one. */
+    readonly contacts: Set<string>;
+    readonly replacement: ReplacementCfg | undefined;
     readonly timing: StateTiming;
     readonly random: Random;
     readonly wallClock: () => number;
@@ -51,6 +66,8 @@
     now: number;
     /** When the leader was last heard. */
     leaderHeardAt: number;
+    /** How long ago the leader had heard a majority when it was last heard, in milliseconds. */
+    leaderQuorumAgeMs: number;
     emit(action: NodeAction): void;
     send(to: string, message: PeerMessage): void;
     reply(requestId: number, reply: StateReply): void;
@@ -60,6 +77,12 @@
 /** How many voters make a majority. */
 export const quorumOf = (voters: Readonly<Record<string, number>>): number => Math.floor(Object.keys(voters).length / 2) + 1;
 
+/** The voters that the log names, without this host. */
+export const otherVoters = (ctx: NodeContext): string[] => Object.keys(ctx.log.voters()).filter(hostId => hostId !== ctx.hostId);
+
+/** Whom a host that does not vote asks to take it in. */
+export const hostsToAsk = (ctx: NodeContext): string[] => [...new Set([...ctx.contacts, ...otherVoters(ctx)])];
+
 /** Whether this host's disk is a voter by its own log. */
 export const isVoter = (ctx: NodeContext): boolean => !ctx.hard.founding && ctx.log.voters()[ctx.hostId] === ctx.hard.incarnation;
 
@@ -78,7 +101,8 @@
     };
     const ctx: NodeContext = {
         hostId: cfg.hostId,
-        others: cfg.hostIds.filter(hostId => hostId !== cfg.hostId),
+        contacts: new Set(cfg.hostIds.filter(hostId => hostId !== cfg.hostId)),
+        replacement: cfg.replacement,
         timing: cfg.timing ?? defaultStateTiming,
         random: cfg.random,
         wallClock: cfg.wallClock,
@@ -91,6 +115,7 @@
         appliedIndex: log.baseIndex(),
         now: 0,
         leaderHeardAt: -Infinity,
+        leaderQuorumAgeMs: 0,
         emit,
         send: (to, message) => emit({ kind: NodeActionKind.Send, to, message }),
         reply: (requestId, reply) => emit({ kind: NodeActionKind.Reply, requestId, reply }),
--- a/packages/core/src/lib/consensus/node-messages.ts
+++ b/packages/core/src/lib/consensus/node-messages.ts
@@ -8,6 +8,8 @@
     GreetReply = "greet-reply",
     /** Asks the leader to make the sender's new disk a voter. */
     Join = "join",
+    /** Names the voters to a host that asked one that does not lead to take it in. */
+    Voters = "voters",
     Vote = "vote",
     VoteReply = "vote-reply",
     Append = "append",
@@ -46,6 +48,8 @@
     previousTerm: number;
     entries: LogEntry[];
     commitIndex: number;
+    /** How long ago the leader had heard a majority, in milliseconds. */
+    quorumAgeMs: number;
     /** Counts the rounds of the leader; the reply repeats it and so confirms that the leader still led. */
     round: number;
 }
@@ -71,6 +75,7 @@
     | { kind: PeerMessageKind.Greet; nonce: number; }
     | { kind: PeerMessageKind.GreetReply; nonce: number; fresh: boolean; }
     | { kind: PeerMessageKind.Join; incarnation: number; }
+    | { kind: PeerMessageKind.Voters; hostIds: string[]; }
     | VoteMessage
     | VoteReplyMessage
     | AppendMessage
--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -1,13 +1,15 @@
 /** The leader's side: sends entries, counts what a majority holds, and steps down when it hears no majority. */
 import { EntryKind } from "./log-entry.js";
 import type { EntryBody, Snapshot } from "./log-entry.js";
-import { quorumOf } from "./node-context.js";
+import { otherVoters, quorumOf } from "./node-context.js";
 import type { NodeContext } from "./node-context.js";
 import { NodeActionKind, PeerMessageKind } from "./node-messages.js";
 import type { AppendReplyMessage } from "./node-messages.js";
 
 /** Most entries of one message, so that a long log is sent in pieces. */
 const entriesPerMessage = 64;
+/** A host that has not asked to vote for this many heartbeats has given up. */
+const joinExpiryRounds = 30;
 
 interface Progress {
     incarnation: number | undefined;
@@ -15,6 +17,8 @@
     matchIndex: number;
     round: number;
     heardAt: number;
+    /** The commit position that the peer was last told. */
+    toldCommit: number;
     /** A message with entries is on its way; the next waits for its reply or the next heartbeat. */
     busy: boolean;
 }
@@ -24,6 +28,7 @@
     incarnation: number;
     /** The round of heartbeats that began when it asked; its reply shows that the disk is still the host's. */
     round: number;
+    heardAt: number;
 }
 
 /** The leader's side of the log. */
@@ -36,6 +41,8 @@
     receiveReply(from: string, message: AppendReplyMessage): void;
     /** A host asks for its new disk to vote. */
     receiveJoin(from: string, incarnation: number): void;
+    /** How long ago a majority was heard, in milliseconds. */
+    quorumAgeMs(): number;
     /** Starts a round of heartbeats; once a majority answered it, this host was the leader when it began. */
     startRound(): number;
     isConfirmed(round: number): boolean;
@@ -60,15 +67,29 @@
     let heartbeatAt = 0;
     let termStart = 0;
 
+    const quorumAgeMs = (): number => {
+        const heard = Object.entries(ctx.log.voters()).map(([hostId, incarnation]) => {
+            if (hostId === ctx.hostId) {
+                return ctx.now;
+            }
+            const peer = progress.get(hostId);
+            return peer?.incarnation === incarnation ? peer.heardAt : -Infinity;
+        });
+        heard.sort((a, b) => b - a);
+        return ctx.now - (heard[quorumOf(ctx.log.voters()) - 1] ?? -Infinity);
+    };
+
     const sendTo = (hostId: string, peer: Progress): void => {
         peer.busy = true;
         const previousIndex = peer.nextIndex - 1;
         const previousTerm = ctx.log.termAt(previousIndex);
         if (previousTerm === undefined) {
             const snapshot = hooks.snapshot();
+            peer.toldCommit = ctx.commitIndex;
             ctx.send(hostId, { kind: PeerMessageKind.InstallSnapshot, term: ctx.hard.term, snapshot, round });
             return;
         }
+        peer.toldCommit = ctx.commitIndex;
         ctx.send(hostId, {
             kind: PeerMessageKind.Append,
             term: ctx.hard.term,
@@ -76,6 +97,7 @@
             previousTerm,
             entries: ctx.log.slice(peer.nextIndex, entriesPerMessage),
             commitIndex: ctx.commitIndex,
+            quorumAgeMs: quorumAgeMs(),
             round,
         });
     };
@@ -99,6 +121,15 @@
 
     const hasQuorum = (test: (peer: Progress) => boolean): boolean => countVoters(test) >= quorumOf(ctx.log.voters());
 
+    /** Tells voters that hold everything what is committed now, so that they need not wait for the next heartbeat. */
+    const tellCommit = (): void => {
+        for (const [hostId, peer] of progress) {
+            if (!peer.busy && peer.matchIndex === ctx.log.lastIndex() && peer.toldCommit < ctx.commitIndex) {
+                sendTo(hostId, peer);
+            }
+        }
+    };
+
     const advance = (): void => {
         let index = ctx.log.lastIndex();
         while (index > ctx.commitIndex && !hasQuorum(peer => peer.matchIndex >= index)) {
@@ -108,6 +139,7 @@
         if (index > ctx.commitIndex && ctx.log.termAt(index) === ctx.hard.term) {
             ctx.commitIndex = index;
             hooks.committed();
+            tellCommit();
         }
     };
 
@@ -135,10 +167,54 @@
         return peer?.incarnation === join.incarnation && peer.round >= join.round && peer.matchIndex >= ctx.commitIndex;
     };
 
+    const createProgress = (incarnation: number | undefined): Progress => ({
+        incarnation,
+        nextIndex: ctx.log.lastIndex() + 1,
+        matchIndex: 0,
+        round: 0,
+        heardAt: ctx.now,
+        toldCommit: 0,
+        busy: false,
+    });
+
+    /** Entries are sent to the voters and to the hosts that want to vote. */
+    const refreshProgress = (): void => {
+        const voters = ctx.log.voters();
+        for (const hostId of [...otherVoters(ctx), ...joins.keys()]) {
+            if (!progress.has(hostId)) {
+                progress.set(hostId, createProgress(voters[hostId]));
+            }
+        }
+        for (const hostId of progress.keys()) {
+            if (voters[hostId] === undefined && !joins.has(hostId)) {
+                progress.delete(hostId);
+            }
+        }
+    };
+
+    /**
+     * Takes out the voter that has been silent for longest, one at a time and only while all others are heard, so that the
+     * voters that are left bear the loss of as many disks as before.
+     */
+    const replaceAbsent = (): void => {
+        const { replacement } = ctx;
+        const voters = Object.keys(ctx.log.voters());
+        if (replacement === undefined || voters.length <= replacement.minVoters || !mayChangeVoters()) {
+            return;
+        }
+        const silentMs = (hostId: string): number => hostId === ctx.hostId ? 0 : ctx.now - (progress.get(hostId)?.heardAt ?? ctx.now);
+        const [longest, ...rest] = voters.sort((a, b) => silentMs(b) - silentMs(a));
+        const othersAreHeard = rest.every(hostId => silentMs(hostId) < 2 * ctx.timing.heartbeatMs + ctx.timing.electionMs);
+        if (longest !== undefined && silentMs(longest) >= replacement.absentMs && othersAreHeard) {
+            propose({ kind: EntryKind.RemoveVoter, hostId: longest });
+        }
+    };
+
     const settleJoins = (): void => {
         for (const [hostId, join] of joins) {
             const voting = ctx.log.voters()[hostId];
-            if (voting === join.incarnation) {
+            const hasLeft = ctx.now - join.heardAt > joinExpiryRounds * ctx.timing.heartbeatMs;
+            if (voting === join.incarnation || hasLeft) {
                 joins.delete(hostId);
                 continue;
             }
@@ -163,24 +239,22 @@
     };
 
     const receiveJoin = (from: string, incarnation: number): void => {
-        if (joins.get(from)?.incarnation !== incarnation) {
-            joins.set(from, { incarnation, round: startRound() });
+        const known = joins.get(from);
+        if (known?.incarnation === incarnation) {
+            known.heardAt = ctx.now;
+        }
+        else {
+            joins.set(from, { incarnation, round: round + 1, heardAt: ctx.now });
+            refreshProgress();
+            startRound();
         }
         settleJoins();
     };
 
     const start = (): void => {
-        const voters = ctx.log.voters();
-        const fresh = (hostId: string): Progress => ({
-            incarnation: voters[hostId],
-            nextIndex: ctx.log.lastIndex() + 1,
-            matchIndex: 0,
-            round: 0,
-            heardAt: ctx.now,
-            busy: false,
-        });
-        progress = new Map(ctx.others.map(hostId => [hostId, fresh(hostId)]));
+        progress = new Map();
         joins = new Map();
+        refreshProgress();
         termStart = ctx.log.lastIndex() + 1;
         heartbeatAt = ctx.now + ctx.timing.heartbeatMs;
         propose({ kind: EntryKind.Noop });
@@ -195,6 +269,8 @@
             broadcast();
         }
         settleJoins();
+        refreshProgress();
+        replaceAbsent();
     };
 
     const receiveReply = (from: string, message: AppendReplyMessage): void => {
@@ -218,7 +294,7 @@
             peer.nextIndex = Math.max(1, Math.min(message.index, ctx.log.lastIndex() + 1));
         }
         advance();
-        if (peer.nextIndex <= ctx.log.lastIndex()) {
+        if (peer.nextIndex <= ctx.log.lastIndex() || (peer.matchIndex === ctx.log.lastIndex() && peer.toldCommit < ctx.commitIndex)) {
             sendTo(from, peer);
         }
     };
@@ -229,6 +305,7 @@
         propose,
         receiveReply,
         receiveJoin,
+        quorumAgeMs,
         startRound,
         isConfirmed: asked => hasQuorum(peer => peer.round >= asked),
         isCaughtUp,
--- a/packages/core/src/lib/consensus/request-desk.ts
+++ b/packages/core/src/lib/consensus/request-desk.ts
@@ -1,6 +1,15 @@
 /** Requests of operators, entry hosts and other state hosts that wait for an answer. */
 import { StateReplyKind, StateRequestKind, StateRole } from "../state-messages.js";
-import type { ApplyRequest, EnrollRequest, ReadRequest, StateReply, StateRequest } from "../state-messages.js";
+import type {
+    ApplyRequest,
+    EnrollRequest,
+    FactsRequest,
+    PublishRequest,
+    ReadPublishedRequest,
+    ReadRequest,
+    StateReply,
+    StateRequest,
+} from "../state-messages.js";
 import { EntryKind } from "./log-entry.js";
 import type { EntryBody } from "./log-entry.js";
 import type { NodeContext } from "./node-context.js";
@@ -12,9 +21,21 @@
 export type Origin = { requestId: number; } | { from: string; forwardId: number; };
 
 /** A request that only the leader can answer. */
-export type LeaderRequest = ApplyRequest | EnrollRequest | ReadRequest;
+export type LeaderRequest = WriteRequest | ReadRequest | ReadPublishedRequest;
 
-const leaderKinds = new Set([StateRequestKind.Apply, StateRequestKind.Enroll, StateRequestKind.Read]);
+type WriteRequest = ApplyRequest | EnrollRequest | PublishRequest | FactsRequest;
+
+const leaderKinds = new Set([
+    StateRequestKind.Apply,
+    StateRequestKind.Enroll,
+    StateRequestKind.Publish,
+    StateRequestKind.Facts,
+    StateRequestKind.Read,
+    StateRequestKind.ReadPublished,
+]);
+
+const isRead = (request: LeaderRequest): request is ReadRequest | ReadPublishedRequest =>
+    request.kind === StateRequestKind.Read || request.kind === StateRequestKind.ReadPublished;
 
 interface Waiting {
     origin: Origin;
@@ -61,16 +82,23 @@
         ctx.send(origin.from, { kind: PeerMessageKind.ForwardReply, forwardId: origin.forwardId, reply });
     };
 
-    const bodyOf = (request: ApplyRequest | EnrollRequest): EntryBody => {
-        if (request.kind === StateRequestKind.Enroll) {
-            const { host, incarnation } = request;
-            return { kind: EntryKind.Enroll, enrollment: { host, incarnation, at: ctx.wallClock() } };
-        }
-        const { changeId, expectedVersion, tables, author } = request;
-        return { kind: EntryKind.Change, change: { changeId, expectedVersion, tables, author, acceptedAt: ctx.wallClock() } };
+    const bodies: { [K in WriteRequest["kind"]]: (request: Extract<WriteRequest, { kind: K; }>) => EntryBody; } = {
+        [StateRequestKind.Apply]: ({ changeId, expectedVersion, tables, author }) => ({
+            kind: EntryKind.Change,
+            change: { changeId, expectedVersion, tables, author, acceptedAt: ctx.wallClock() },
+        }),
+        [StateRequestKind.Enroll]: ({ host, incarnation }) => ({
+            kind: EntryKind.Enroll,
+            enrollment: { host, incarnation, at: ctx.wallClock() },
+        }),
+        [StateRequestKind.Publish]: ({ published }) => ({ kind: EntryKind.Publish, published }),
+        [StateRequestKind.Facts]: ({ facts }) => ({ kind: EntryKind.Facts, facts }),
     };
 
-    const propose = (waiting: Waiting, request: ApplyRequest | EnrollRequest): void => {
+    // Each body is keyed by the kind of its request, which the compiler can't follow through the lookup.
+    const bodyOf = (request: WriteRequest): EntryBody => (bodies[request.kind] as (request: WriteRequest) => EntryBody)(request);
+
+    const propose = (waiting: Waiting, request: WriteRequest): void => {
         // The index is noted first: with one host the entry is decided before `propose` returns.
         proposed.set(ctx.log.lastIndex() + 1, waiting);
         replication.propose(bodyOf(request));
@@ -97,7 +125,12 @@
         const ready = reads.filter(isReady);
         reads = reads.filter(read => !ready.includes(read));
         for (const read of ready) {
-            answer(read.origin, { kind: StateReplyKind.Tables, versioned: ctx.machine.versioned() });
+            answer(
+                read.origin,
+                read.request.kind === StateRequestKind.Read
+                    ? { kind: StateReplyKind.Tables, versioned: ctx.machine.versioned() }
+                    : { kind: StateReplyKind.Published, published: ctx.machine.fleet.published() },
+            );
         }
         startRead();
     };
@@ -110,7 +143,7 @@
 
     const lead = (waiting: Waiting): void => {
         const { request } = waiting;
-        if (request.kind !== StateRequestKind.Read) {
+        if (!isRead(request)) {
             propose(waiting, request);
             return;
         }
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -2,12 +2,13 @@
 import { StateReplyKind, StateRequestKind, StateRole } from "../state-messages.js";
 import type { StateRequest, StateStatus } from "../state-messages.js";
 import { createConfigurationMachine, createMachineState } from "./configuration-machine.js";
+import type { FleetMachine } from "../fleet/fleet-machine.js";
 import { createElection } from "./election.js";
 import { createFollower } from "./follower.js";
 import { createFirstSnapshot, createFounding, firstSnapshotWrite } from "./founding.js";
 import { EntryKind } from "./log-entry.js";
 import type { LogEntry, Snapshot } from "./log-entry.js";
-import { createNodeContext, isVoter, passiveRole } from "./node-context.js";
+import { createNodeContext, isVoter, otherVoters, passiveRole } from "./node-context.js";
 import type { NodeContext, StateNodeCfg } from "./node-context.js";
 import { NodeActionKind, NodeEventKind, PeerMessageKind } from "./node-messages.js";
 import type { NodeAction, NodeEvent, PeerMessage } from "./node-messages.js";
@@ -33,6 +34,15 @@
      */
     step(event: NodeEvent, now: number): NodeAction[];
     status(): StateStatus;
+    /** The applied view of the fleet; `undefined` while it may be older than before the start. */
+    fleet(): FleetMachine | undefined;
+    /**
+     * How old the applied view may be at `now`, in milliseconds: the time since a majority confirmed the leader that this
+     * host follows; `Infinity` without one.
+     */
+    ageMs(now: number): number;
+    /** The hosts whose disks vote. */
+    voters(): string[];
     /** Whether the host may stop: it does not lead and no request waits. */
     isIdle(): boolean;
 }
@@ -69,6 +79,14 @@
         if (entry.body.kind === EntryKind.Enroll) {
             desk.decided(entry.index, { kind: StateReplyKind.Enrolled, ...ctx.machine.enroll(entry.body.enrollment) });
         }
+        if (entry.body.kind === EntryKind.Publish) {
+            ctx.machine.fleet.publish(entry.body.published);
+            desk.decided(entry.index, { kind: StateReplyKind.Recorded });
+        }
+        if (entry.body.kind === EntryKind.Facts) {
+            ctx.machine.fleet.apply(entry.body.facts, entry.index);
+            desk.decided(entry.index, { kind: StateReplyKind.Recorded });
+        }
     };
 
     const takeSnapshot = (): void => {
@@ -136,6 +154,15 @@
         [PeerMessageKind.Join]: (message, from) => {
             if (ctx.role === StateRole.Leader) {
                 replication.receiveJoin(from, message.incarnation);
+                return;
+            }
+            if (isVoter(ctx)) {
+                ctx.send(from, { kind: PeerMessageKind.Voters, hostIds: [ctx.hostId, ...otherVoters(ctx)] });
+            }
+        },
+        [PeerMessageKind.Voters]: message => {
+            for (const hostId of message.hostIds.filter(known => known !== ctx.hostId)) {
+                ctx.contacts.add(hostId);
             }
         },
         [PeerMessageKind.Vote]: (message, from) => election.receiveVote(from, message),
@@ -172,6 +199,9 @@
         [StateRequestKind.Apply]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Read]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Enroll]: (requestId, request) => desk.submit({ requestId }, request),
+        [StateRequestKind.Publish]: (requestId, request) => desk.submit({ requestId }, request),
+        [StateRequestKind.Facts]: (requestId, request) => desk.submit({ requestId }, request),
+        [StateRequestKind.ReadPublished]: (requestId, request) => desk.submit({ requestId }, request),
         [StateRequestKind.Watch]: (requestId, request) => watchers.add(requestId, request),
         [StateRequestKind.Status]: requestId => ctx.reply(requestId, { kind: StateReplyKind.Status, status: status() }),
         [StateRequestKind.History]: (requestId, request) =>
@@ -216,5 +246,19 @@
         return emitted;
     };
 
-    return { step, status, isIdle: () => ctx.role !== StateRole.Leader && desk.size() === 0 };
+    const ageMs = (now: number): number => {
+        if (ctx.role === StateRole.Leader) {
+            return replication.quorumAgeMs() + now - ctx.now;
+        }
+        return ctx.leaderId === undefined || !isCaughtUp() ? Infinity : now - ctx.leaderHeardAt + ctx.leaderQuorumAgeMs;
+    };
+
+    return {
+        step,
+        status,
+        fleet: () => isCaughtUp() ? ctx.machine.fleet : undefined,
+        ageMs,
+        voters: () => Object.keys(log.voters()),
+        isIdle: () => ctx.role !== StateRole.Leader && desk.size() === 0,
+    };
 };
--- a/packages/core/src/lib/state-messages.ts
+++ b/packages/core/src/lib/state-messages.ts
@@ -1,4 +1,6 @@
 /** Requests that operators and entry hosts send to the state hosts, and their replies. */
+import type { Fact } from "./fleet/facts.js";
+import type { Published } from "./fleet/fleet-machine.js";
 import type { Tables, Version, VersionedTables } from "./tables.js";
 
 export enum StateRequestKind {
@@ -8,6 +10,9 @@
     Status = "status",
     History = "history",
     Enroll = "enroll",
+    Publish = "publish",
+    Facts = "facts",
+    ReadPublished = "read-published",
 }
 
 /** Asks for a change of both tables. Sending the same `changeId` again yields the same reply. */
@@ -74,7 +79,28 @@
     incarnation: number;
 }
 
-export type StateRequest = ApplyRequest | ReadRequest | WatchRequest | StatusRequest | HistoryRequest | EnrollRequest;
+/**
+ * Publishes a configuration under a number that its operator chose. It is acknowledged also when a number as high is
+ * already held; then nothing changes.
+ */
+export interface PublishRequest {
+    kind: StateRequestKind.Publish;
+    published: Published;
+}
+
+/** Records facts about backend servers and hosts. */
+export interface FactsRequest {
+    kind: StateRequestKind.Facts;
+    facts: Fact[];
+}
+
+/** Asks for the published configuration with a linearizable read. */
+export interface ReadPublishedRequest {
+    kind: StateRequestKind.ReadPublished;
+}
+
+export type StateRequest = ApplyRequest | ReadRequest | WatchRequest | StatusRequest | HistoryRequest | EnrollRequest | PublishRequest
+    | FactsRequest | ReadPublishedRequest;
 
 export enum StateReplyKind {
     Applied = "applied",
@@ -87,6 +113,9 @@
     Unavailable = "unavailable",
     Invalid = "invalid",
     Enrolled = "enrolled",
+    /** A publication or facts are committed. */
+    Recorded = "recorded",
+    Published = "published",
 }
 
 export enum StateRole {
@@ -127,4 +156,6 @@
     | { kind: StateReplyKind.NotLeader; leaderId?: string; message: string; }
     | { kind: StateReplyKind.Unavailable; retryAfterMs: number; message: string; }
     | { kind: StateReplyKind.Enrolled; firstStart: boolean; roster?: EntryRoster; }
+    | { kind: StateReplyKind.Recorded; }
+    | { kind: StateReplyKind.Published; published?: Published; }
     | { kind: StateReplyKind.Invalid; message: string; };
--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -53,6 +53,7 @@
     previousTerm,
     entries,
     commitIndex,
+    quorumAgeMs: 0,
     round: 0,
 });
 
--- a/packages/ctl/src/lib/cli.ts
+++ b/packages/ctl/src/lib/cli.ts
@@ -1,5 +1,5 @@
 /** The grammar of the command line: commands, options, help and completion. */
-import { peersSetting, suggestName, variableOf } from "@cassiapick/platform";
+import { peersSetting, suggestName, variableOf } from "@cassiapick/operations";
 import { randomUUID } from "node:crypto";
 import { userInfo } from "node:os";
 import yargs from "yargs";
--- a/packages/ctl/src/lib/context.ts
+++ b/packages/ctl/src/lib/context.ts
@@ -1,6 +1,6 @@
 /** What every command is given: the global options, checked. */
-import type { EntryClient, PeerAddress } from "@cassiapick/platform";
-import { createEntryClient, readTokenFile } from "@cassiapick/platform";
+import type { EntryClient, PeerAddress } from "@cassiapick/operations";
+import { createEntryClient, readTokenFile } from "@cassiapick/operations";
 import { failWith } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
 import { createStateClient } from "./state-client.js";
--- a/packages/ctl/src/lib/fleet-commands.ts
+++ b/packages/ctl/src/lib/fleet-commands.ts
@@ -1,8 +1,8 @@
 /** The commands about the fleet: `tables status`, `tables wait` and `hosts`. */
 import { compareVersions, formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { StateStatus, Version } from "@cassiapick/core";
-import type { EntryAnswer, EntryClient } from "@cassiapick/platform";
-import { renderTable } from "@cassiapick/platform";
+import type { EntryAnswer, EntryClient } from "@cassiapick/operations";
+import { renderTable } from "@cassiapick/operations";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
 import { withEntryHosts, withStateHosts } from "./context.js";
--- a/packages/ctl/src/lib/pool-commands.ts
+++ b/packages/ctl/src/lib/pool-commands.ts
@@ -1,8 +1,8 @@
 /** The commands `pools` and `addresses`. */
 import type { MemberStatus, PoolStatus } from "@cassiapick/core";
 import { MemberState } from "@cassiapick/core";
-import type { EntryAnswer } from "@cassiapick/platform";
-import { renderTable } from "@cassiapick/platform";
+import type { EntryAnswer } from "@cassiapick/operations";
+import { renderTable } from "@cassiapick/operations";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
 import { withEntryHosts } from "./context.js";
--- a/packages/ctl/src/lib/reply-result.ts
+++ b/packages/ctl/src/lib/reply-result.ts
@@ -34,6 +34,8 @@
     [StateReplyKind.Status]: unexpected,
     [StateReplyKind.History]: unexpected,
     [StateReplyKind.Enrolled]: unexpected,
+    [StateReplyKind.Recorded]: unexpected,
+    [StateReplyKind.Published]: unexpected,
 };
 
 /** Renders why each host gave no final answer. */
--- a/packages/ctl/src/lib/state-client.ts
+++ b/packages/ctl/src/lib/state-client.ts
@@ -1,7 +1,7 @@
 /** Asks the state hosts, one after the other, until one answers. */
 import { StateReplyKind } from "@cassiapick/core";
 import type { StateReply, StateRequest } from "@cassiapick/core";
-import type { PeerAddress } from "@cassiapick/platform";
+import type { PeerAddress } from "@cassiapick/operations";
 import { createRpcClient } from "@cassiapick/wire";
 import type { RpcClient } from "@cassiapick/wire";
 import { isStateReply } from "./state-reply.js";
--- a/packages/ctl/src/lib/state-reply.ts
+++ b/packages/ctl/src/lib/state-reply.ts
@@ -23,6 +23,8 @@
     [StateReplyKind.Unavailable]: z.object({ retryAfterMs: z.number(), message }),
     [StateReplyKind.Invalid]: z.object({ message }),
     [StateReplyKind.Enrolled]: z.object({ firstStart: z.boolean() }),
+    [StateReplyKind.Recorded]: z.object({}),
+    [StateReplyKind.Published]: z.object({}),
 };
 
 const kindSchema = z.object({ kind: z.enum(StateReplyKind) });
--- a/packages/ctl/src/lib/tables-commands.ts
+++ b/packages/ctl/src/lib/tables-commands.ts
@@ -1,8 +1,8 @@
 /** The commands `tables check`, `tables show`, `tables diff` and `tables history`. */
 import { formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { Tables, VersionedTables } from "@cassiapick/core";
-import { formatTables, parseTables } from "@cassiapick/platform";
-import { renderTable } from "@cassiapick/platform";
+import { formatTables, parseTables } from "@cassiapick/operations";
+import { renderTable } from "@cassiapick/operations";
 import { readFileSync } from "node:fs";
 import { failWith, succeed } from "./command-result.js";
 import type { CommandResult } from "./command-result.js";
--- a/packages/demo/src/lib/demo-fleet.ts
+++ b/packages/demo/src/lib/demo-fleet.ts
@@ -1,6 +1,6 @@
 /** Starts the fleet of the demo as separate processes. */
 import type { HostInfo, Tables } from "@cassiapick/core";
-import { parseTables } from "@cassiapick/platform";
+import { parseTables } from "@cassiapick/operations";
 import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
--- a/packages/entry/src/lib/admin-server.ts
+++ b/packages/entry/src/lib/admin-server.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for backend servers and operators. */
 import type { Announcement, ClockEcho } from "@cassiapick/core";
 import { ServerState } from "@cassiapick/core";
-import type { TokenFile } from "@cassiapick/platform";
+import type { TokenFile } from "@cassiapick/operations";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { z } from "zod";
--- a/packages/entry/src/lib/caller-book.ts
+++ b/packages/entry/src/lib/caller-book.ts
@@ -1,7 +1,7 @@
 /** The callers that wait for an answer, and the count of how they were answered. */
 import { AttemptClass, BurnOutcome, Outcome, RefusalKind } from "@cassiapick/core";
 import type { BurnFaultKind, BurnStatus, Refusal, StoredAnswer } from "@cassiapick/core";
-import { createMetrics } from "@cassiapick/platform";
+import { createMetrics } from "@cassiapick/operations";
 import { createBurnCounter } from "./burn-counter.js";
 import { ExchangeEnd } from "./exchange.js";
 import type { ExchangeResult } from "./exchange.js";
--- a/packages/entry/src/lib/entry-settings.ts
+++ b/packages/entry/src/lib/entry-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of an entry host. */
-import { integerSetting, LogFormat, peersSetting, textSetting } from "@cassiapick/platform";
-import type { SettingValues } from "@cassiapick/platform";
+import { integerSetting, LogFormat, peersSetting, textSetting } from "@cassiapick/operations";
+import type { SettingValues } from "@cassiapick/operations";
 import { z } from "zod";
 
 const maxPort = 65_535;
--- a/packages/entry/src/lib/note-events.ts
+++ b/packages/entry/src/lib/note-events.ts
@@ -1,6 +1,6 @@
 /** Which numbered event of the log each note of the decisions becomes. */
 import { NoteKind } from "@cassiapick/core";
-import type { EventName } from "@cassiapick/platform";
+import type { EventName } from "@cassiapick/operations";
 
 /** The events of the notes. */
 export const noteEvents: Readonly<Record<NoteKind, EventName>> = {
--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -12,7 +12,7 @@
     ownersOf,
 } from "@cassiapick/core";
 import type { EntryAction, EntryEvent, FleetMessage, HostInfo, WatchRequest } from "@cassiapick/core";
-import { createEventLog, readTokenFile } from "@cassiapick/platform";
+import { createEventLog, readTokenFile } from "@cassiapick/operations";
 import { createRpcClient, createRpcServer } from "@cassiapick/wire";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createAdminServer } from "./admin-server.js";
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** The program `cassiapick-entry`. */
-import { createEventLog, LogFormat, readSettings } from "@cassiapick/platform";
+import { createEventLog, LogFormat, readSettings } from "@cassiapick/operations";
 import { entrySettings } from "./lib/entry-settings.js";
 import { startEntry } from "./lib/start-entry.js";
 
--- a/packages/entry/src/test/admin-server_test.ts
+++ b/packages/entry/src/test/admin-server_test.ts
@@ -1,5 +1,5 @@
 import { ServerState } from "@cassiapick/core";
-import { createTokens } from "@cassiapick/platform";
+import { createTokens } from "@cassiapick/operations";
 import { expect } from "chai";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
--- a/packages/platform/src/lib/events-page.ts
+++ b/packages/operations/src/lib/events-page.ts
@@ -9,7 +9,7 @@
     return [
         "# Log events",
         "",
-        "Written from `packages/platform/src/lib/events.ts` by `npm run docs`; a test compares the two.",
+        "Written from `packages/operations/src/lib/events.ts` by `npm run docs`; a test compares the two.",
         "",
         "Every line of a log is one event. Numbers stay the same over versions; CP1 is about processes, CP2 about tables,",
         "CP3 about backend servers, CP4 about requests and CP5 about the hosts of the fleet. Warnings and errors are always",
--- a/packages/report/src/lib/objectives.ts
+++ b/packages/report/src/lib/objectives.ts
@@ -1,5 +1,5 @@
 /** Service-level objectives: which share of the requests of a destination must be good. */
-import { readYamlText, suggestName } from "@cassiapick/platform";
+import { readYamlText, suggestName } from "@cassiapick/operations";
 import { z } from "zod";
 
 /** What a destination promises its callers. */
--- a/packages/report/src/lib/render-text.ts
+++ b/packages/report/src/lib/render-text.ts
@@ -1,5 +1,5 @@
 /** Renders the report for a terminal. */
-import { renderTable } from "@cassiapick/platform";
+import { renderTable } from "@cassiapick/operations";
 import { BurnWindow } from "./burn-report.js";
 import type { DestinationBurn, Spender, WindowBurn } from "./burn-report.js";
 import type { Coverage } from "./coverage.js";
--- a/packages/report/src/lib/report-settings.ts
+++ b/packages/report/src/lib/report-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the report. */
-import { integerSetting, peersSetting, switchSetting, textSetting } from "@cassiapick/platform";
-import type { SettingValues } from "@cassiapick/platform";
+import { integerSetting, peersSetting, switchSetting, textSetting } from "@cassiapick/operations";
+import type { SettingValues } from "@cassiapick/operations";
 import { z } from "zod";
 import { targetSchema } from "./objectives.js";
 
--- a/packages/report/src/lib/run-report.ts
+++ b/packages/report/src/lib/run-report.ts
@@ -1,6 +1,6 @@
 /** Asks the hosts, computes the report and renders it. */
-import { createEntryClient, readTokenFile } from "@cassiapick/platform";
-import type { EntryAnswer } from "@cassiapick/platform";
+import { createEntryClient, readTokenFile } from "@cassiapick/operations";
+import type { EntryAnswer } from "@cassiapick/operations";
 import { readFileSync, writeFileSync } from "node:fs";
 import { BurnWindow, computeBurn, windowMs } from "./burn-report.js";
 import { computeCoverage } from "./coverage.js";
--- a/packages/report/src/lib/sample-file.ts
+++ b/packages/report/src/lib/sample-file.ts
@@ -1,5 +1,5 @@
 /** Keeps samples between runs, so that counts of a process outlive its restart. */
-import { burnSchema } from "@cassiapick/platform";
+import { burnSchema } from "@cassiapick/operations";
 import { randomUUID } from "node:crypto";
 import { existsSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { z } from "zod";
--- a/packages/report/src/main.ts
+++ b/packages/report/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** The binary `cassiapick-report`. */
-import { readSettings, settingsExitCode } from "@cassiapick/platform";
+import { readSettings, settingsExitCode } from "@cassiapick/operations";
 import { reportSettings } from "./lib/report-settings.js";
 import { runReport } from "./lib/run-report.js";
 
--- a/packages/standins/src/backend-main.ts
+++ b/packages/standins/src/backend-main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** The program `backend-stand-in`. */
-import { readSettings, readTokenFile } from "@cassiapick/platform";
+import { readSettings, readTokenFile } from "@cassiapick/operations";
 import { backendSettings } from "./lib/backend-settings.js";
 import { startBackendStandIn } from "./lib/backend-stand-in.js";
 
--- a/packages/standins/src/caller-main.ts
+++ b/packages/standins/src/caller-main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** The program `caller-stand-in`: sends load for a while and prints what it counted. */
-import { integerSetting, readSettings, textSetting } from "@cassiapick/platform";
+import { integerSetting, readSettings, textSetting } from "@cassiapick/operations";
 import { setTimeout as sleep } from "node:timers/promises";
 import { startCallerStandIn } from "./lib/caller-stand-in.js";
 
--- a/packages/standins/src/lib/backend-settings.ts
+++ b/packages/standins/src/lib/backend-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the backend stand-in. */
-import { integerSetting, textSetting } from "@cassiapick/platform";
+import { integerSetting, textSetting } from "@cassiapick/operations";
 
 const maxPort = 65_535;
 
--- a/packages/state/src/lib/state-host.ts
+++ b/packages/state/src/lib/state-host.ts
@@ -10,7 +10,7 @@
     StateStatus,
     WriteAction,
 } from "@cassiapick/core";
-import type { EventLog, PeerAddress } from "@cassiapick/platform";
+import type { EventLog, PeerAddress } from "@cassiapick/operations";
 import { createRpcClient, createRpcServer } from "@cassiapick/wire";
 import type { RpcClient } from "@cassiapick/wire";
 import { dispatch, spawn, start, stop } from "nact";
--- a/packages/state/src/main.ts
+++ b/packages/state/src/main.ts
@@ -10,7 +10,7 @@
     readSettings,
     readTokenFile,
     textSetting,
-} from "@cassiapick/platform";
+} from "@cassiapick/operations";
 import { randomInt } from "node:crypto";
 import { z } from "zod";
 import { openDataFolder } from "./lib/data-folder.js";
