Serve the whole path on the users' platform

Cause: nothing of the product ran there. This adds the entry host that serves published configurations (packages/gateway), the state host that keeps them, hears announcements and briefs entry hosts (packages/control), and platform/, which only translates.

--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,4 @@
+/** The state host of a fleet that serves published configurations. */
+export * from "./lib/control-host.js";
+export * from "./lib/open-storage.js";
+export { splitAddress } from "./lib/peer-links.js";
--- /dev/null
+++ b/packages/control/src/lib/control-host.ts
@@ -0,0 +1,355 @@
+/** A running state host of a fleet that serves published configurations. */
+import {
+    callerAddresses,
+    createKeeper,
+    HostPhase,
+    HostRole,
+    isLinkMessage,
+    LinkMessageKind,
+    StateReplyKind,
+    StateRequestKind,
+} from "@cassiapick/core";
+import type {
+    EntryHello,
+    Fact,
+    FleetMachine,
+    GatewayConfig,
+    HostAnnouncement,
+    LinkMessage,
+    Published,
+    Random,
+    ServerAnnouncement,
+    StateContact,
+    StateReply,
+    StateTiming,
+} from "@cassiapick/core";
+import type { EventLog } from "@cassiapick/operations";
+import { createStateDriver, isPeerMessage } from "@cassiapick/state";
+import type { DataFolder } from "@cassiapick/state";
+import { createLinkServer, encodeFrame } from "@cassiapick/wire";
+import type { Link } from "@cassiapick/wire";
+import { createEntryLinks } from "./entry-links.js";
+import { createPeerLinks } from "./peer-links.js";
+
+/** Options of {@link startControlHost}. */
+export interface ControlHostOptions {
+    /** "host:port" where state hosts and entry hosts reach this one; it is also its name. */
+    hostId: string;
+    availabilityZone: string;
+    region: string;
+    /** The state hosts to ask first, as "host:port". A first start founds the fleet's state with them. */
+    seeds: readonly string[];
+    folder: DataFolder;
+    reopen: () => Promise<DataFolder>;
+    /** The least number of disks that vote. */
+    minVoters: number;
+    /** Usual time between two announcements of a server, in milliseconds. */
+    heartbeatMs: number;
+    timing: StateTiming;
+    random: Random;
+    /** Milliseconds of a clock that never goes back. */
+    clock: () => number;
+    /** Wall-clock time in milliseconds since 1970. */
+    wallClock: () => number;
+    log: EventLog;
+    /** Reads an operator's document, which was checked when it was published. */
+    readDocument: (published: Published) => GatewayConfig;
+}
+
+/** How a request to the state hosts ended. */
+export enum ControlOutcome {
+    Done = "done",
+    /** Not agreed on in time; the outcome is unknown. */
+    Unavailable = "unavailable",
+}
+
+/** The published configuration as read back. */
+export type ReadResult = { ok: true; published: Published | undefined; } | { ok: false; };
+
+/** A running state host. */
+export interface ControlHost {
+    /** Resolves once the announcement binds the whole fleet. */
+    announce(server: ServerAnnouncement): Promise<ControlOutcome>;
+    leave(serverId: string, bornAt: number | undefined): Promise<ControlOutcome>;
+    publish(published: Published): Promise<ControlOutcome>;
+    read(): Promise<ReadResult>;
+    /** Other state hosts may be asked from now on. */
+    setSeeds(seeds: readonly string[]): void;
+    /** Where a caller should connect. */
+    addresses(availabilityZone: string, region: string): string[];
+    /** Values for the metrics address. */
+    gauges(): Record<string, number>;
+    stop(): Promise<void>;
+}
+
+/** Facts that come within this time, in milliseconds, are agreed on together. */
+const gatherFactsMs = 8;
+/** How often the agreed view is compared with what this host sees, in milliseconds. */
+const compareMs = 300;
+/** How often reports of entry hosts are passed on, in milliseconds: well below the time between two requests to a server. */
+const passReportsMs = 100;
+/** How often entry hosts are told how old the view may be, in milliseconds. */
+const tellViewMs = 400;
+/** An entry host that says nothing for this long has failed, in milliseconds. */
+const entrySilenceMs = 2200;
+/** Consensus messages that come within this time share a receipt, in milliseconds. */
+const receiptMs = 400;
+const tickMs = 50;
+/** How long an announcement waits to be agreed on, in milliseconds: its sender turns to another host after a second. */
+const answerWithinMs = 900;
+
+const isDone = (reply: StateReply): boolean => reply.kind === StateReplyKind.Recorded;
+
+/** Starts a state host that serves once the promise resolves. */
+export const startControlHost = async (options: ControlHostOptions): Promise<ControlHost> => {
+    const { hostId, clock, wallClock, log } = options;
+    const startedAt = wallClock();
+    const { host, port } = {
+        host: hostId.slice(0, hostId.lastIndexOf(":")),
+        port: Number(hostId.slice(hostId.lastIndexOf(":") + 1)),
+    };
+    const peers = createPeerLinks({ hostId, localAddress: host, clock });
+    const entries = createEntryLinks();
+    const keeper = createKeeper({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
+    const peerNames = new Map<Link, string>();
+    const unconfirmed = new Set<Link>();
+    const heardAt = new Map<Link, number>();
+    let latest: GatewayConfig | undefined;
+    let stopping = false;
+
+    const driver = createStateDriver({
+        node: {
+            hostId,
+            hostIds: options.seeds,
+            random: options.random,
+            wallClock,
+            timing: options.timing,
+            replacement: { minVoters: options.minVoters, absentMs: 8000 },
+        },
+        folder: options.folder,
+        clock,
+        log,
+        tickMs,
+        send: (to, message) => peers.send(to, message),
+        stepped: () => brief(),
+        storageFailed: err => log.log("storageSuspended", { message: err.message }),
+        reopen: options.reopen,
+    });
+
+    const configOf = (fleet: FleetMachine): GatewayConfig | undefined => {
+        const published = fleet.published();
+        if (published !== undefined && published.number !== latest?.number) {
+            latest = options.readDocument(published);
+            log.log("configurationInForce", { number: published.number, routes: latest.routes.length });
+        }
+        return latest;
+    };
+
+    const contactsOf = (fleet: FleetMachine): StateContact[] => {
+        const known = [...fleet.hosts()].filter(record => record.role === HostRole.State);
+        const voters = new Set(driver.voters());
+        return known.filter(record => voters.has(record.hostId) && record.state !== HostPhase.Gone)
+            .map(({ hostId: address, availabilityZone, region }) => ({ address, availabilityZone, region }));
+    };
+
+    const brief = (): void => {
+        const fleet = driver.fleet();
+        if (fleet === undefined || entries.size() === 0) {
+            return;
+        }
+        const hosts = [...fleet.hosts()];
+        const entryHosts = hosts.filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Gone).length;
+        entries.brief({ fleet, config: configOf(fleet), contacts: contactsOf(fleet), entryHosts });
+    };
+
+    const withinTime = (reply: Promise<StateReply>): Promise<ControlOutcome> =>
+        new Promise(resolve => {
+            const timer = setTimeout(() => resolve(ControlOutcome.Unavailable), answerWithinMs);
+            void reply.then(settled => {
+                clearTimeout(timer);
+                resolve(isDone(settled) ? ControlOutcome.Done : ControlOutcome.Unavailable);
+            });
+        });
+
+    let gathered: Fact[] = [];
+    let gatheredReply: Promise<StateReply> | undefined;
+
+    /** Facts that come together share one position of the log. */
+    const record = (facts: readonly Fact[]): Promise<StateReply> => {
+        gathered.push(...facts);
+        gatheredReply ??= new Promise(resolve => {
+            setTimeout(() => {
+                const together = gathered;
+                gathered = [];
+                gatheredReply = undefined;
+                void driver.request({ kind: StateRequestKind.Facts, facts: together }).then(resolve);
+            }, gatherFactsMs);
+        });
+        return gatheredReply;
+    };
+
+    const selfAnnouncement = (): HostAnnouncement => ({
+        hostId,
+        role: HostRole.State,
+        address: hostId,
+        availabilityZone: options.availabilityZone,
+        region: options.region,
+        state: stopping ? HostPhase.Leaving : HostPhase.Ready,
+        startedAt,
+    });
+    keeper.attached(selfAnnouncement());
+
+    let comparing = false;
+    const compare = async (): Promise<void> => {
+        const fleet = driver.fleet();
+        if (fleet === undefined || comparing || driver.status().leaderId === undefined) {
+            return;
+        }
+        const facts = keeper.missing(fleet, clock());
+        if (facts.length > 0) {
+            comparing = true;
+            await record(facts);
+            comparing = false;
+        }
+    };
+
+    const noteEntry = (announcement: HostAnnouncement | undefined): void => {
+        if (announcement !== undefined) {
+            keeper.attached(announcement);
+            void compare();
+        }
+    };
+
+    /** Every message is followed by a receipt, and messages that come together share one. */
+    const confirm = (link: Link): void => {
+        if (!unconfirmed.has(link)) {
+            unconfirmed.add(link);
+            setTimeout(() => {
+                unconfirmed.delete(link);
+                link.send({ k: LinkMessageKind.Receipt } satisfies LinkMessage);
+            }, receiptMs);
+        }
+    };
+
+    const openEntry = (link: Link, hello: EntryHello): void => {
+        noteEntry(entries.open(link, hello));
+        log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
+        brief();
+        tellView();
+    };
+
+    type Handlers = { [K in LinkMessageKind]?: (link: Link, message: Extract<LinkMessage, { k: K; }>) => void; };
+    const handlers: Handlers = {
+        [LinkMessageKind.PeerHello]: (link, message) => peerNames.set(link, message.hostId),
+        [LinkMessageKind.Consensus]: (link, { m }) => {
+            const from = peerNames.get(link);
+            if (from !== undefined && isPeerMessage(m)) {
+                driver.receive(from, m);
+                confirm(link);
+            }
+        },
+        [LinkMessageKind.EntryHello]: openEntry,
+        [LinkMessageKind.Phase]: (link, { phase }) => noteEntry(entries.setPhase(link, phase)),
+        [LinkMessageKind.Report]: (link, { r }) => entries.takeReport(link, r),
+        [LinkMessageKind.Outcomes]: (_link, { r }) => entries.passOutcomes(r),
+    };
+
+    const tellView = (): void => entries.tellView(driver.ageMs());
+
+    const passReports = (): void => {
+        const outcomes = entries.passReports();
+        if (outcomes.length > 0) {
+            const others = driver.voters().filter(voter => voter !== hostId);
+            peers.relay(others, encodeFrame({ k: LinkMessageKind.Outcomes, r: outcomes } satisfies LinkMessage));
+        }
+    };
+
+    const server = await createLinkServer({ host, port, silenceMs: 0 }, {
+        message: (link, message) => {
+            if (!isLinkMessage(message)) {
+                log.log("peerRejected", { reason: "The message is of no kind that this version knows." });
+                link.close();
+                return;
+            }
+            // Each handler is keyed by the kind of its message, which the compiler can't follow through the lookup.
+            (handlers[message.k] as ((link: Link, message: LinkMessage) => void) | undefined)?.(link, message);
+            heardAt.set(link, clock());
+        },
+        closed: (link, reason) => {
+            peerNames.delete(link);
+            heardAt.delete(link);
+            const left = entries.close(link);
+            if (left !== undefined) {
+                keeper.detached(left.hostId, clock());
+                log.log("hostChanged", { host: left.hostId, change: "detached", reason });
+            }
+        },
+    });
+    const dropSilentEntries = (): void => {
+        for (const [link, at] of heardAt) {
+            if (entries.hostOf(link) !== undefined && clock() - at > entrySilenceMs) {
+                link.close();
+            }
+        }
+    };
+
+    const timers = [
+        setInterval(passReports, passReportsMs),
+        setInterval(tellView, tellViewMs),
+        setInterval(() => {
+            dropSilentEntries();
+            void compare();
+        }, compareMs),
+    ];
+
+    return {
+        announce: async announced => {
+            const fleet = driver.fleet();
+            if (fleet === undefined) {
+                return ControlOutcome.Unavailable;
+            }
+            const fact = keeper.announced(fleet, announced, clock());
+            return fact === undefined ? ControlOutcome.Done : withinTime(record([fact]));
+        },
+        leave: async (serverId, bornAt) => {
+            const fleet = driver.fleet();
+            if (fleet === undefined) {
+                return ControlOutcome.Unavailable;
+            }
+            const fact = keeper.left(fleet, serverId, bornAt);
+            return fact === undefined ? ControlOutcome.Done : withinTime(record([fact]));
+        },
+        publish: async published => {
+            const held = driver.fleet()?.published();
+            // A number as high is committed, so nothing that this host could add would take effect.
+            if (held !== undefined && held.number >= published.number) {
+                return ControlOutcome.Done;
+            }
+            return withinTime(driver.request({ kind: StateRequestKind.Publish, published }));
+        },
+        read: async () => {
+            const reply = await driver.request({ kind: StateRequestKind.ReadPublished });
+            return reply.kind === StateReplyKind.Published ? { ok: true, published: reply.published } : { ok: false };
+        },
+        addresses: (availabilityZone, region) => {
+            const fleet = driver.fleet();
+            return fleet === undefined ? [] : callerAddresses(fleet.hosts(), availabilityZone, region);
+        },
+        setSeeds: seeds => driver.addContacts(seeds),
+        gauges: () => ({
+            cassiapick_attached_hosts: entries.size(),
+            cassiapick_view_age_ms: Number.isFinite(driver.ageMs()) ? driver.ageMs() : -1,
+            cassiapick_voters: driver.voters().length,
+            cassiapick_configuration_number: latest?.number ?? 0,
+        }),
+        stop: async () => {
+            stopping = true;
+            for (const timer of timers) {
+                clearInterval(timer);
+            }
+            await driver.stop();
+            await server.close();
+            peers.close();
+        },
+    };
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./lib/entry/route-table.js";
 export * from "./lib/fleet/facts.js";
 export * from "./lib/fleet/fleet-machine.js";
+export * from "./lib/gateway/index.js";
 export * from "./lib/hash.js";
 export * from "./lib/membership/host-record.js";
 export * from "./lib/membership/membership.js";
--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -202,7 +202,8 @@
         if (replacement === undefined || voters.length <= replacement.minVoters || !mayChangeVoters()) {
             return;
         }
-        const silentMs = (hostId: string): number => hostId === ctx.hostId ? 0 : ctx.now - (progress.get(hostId)?.heardAt ?? ctx.now);
+        const silentMs = (hostId: string): number =>
+            hostId === ctx.hostId ? 0 : ctx.now - (progress.get(hostId)?.heardAt ?? ctx.now);
         const [longest, ...rest] = voters.sort((a, b) => silentMs(b) - silentMs(a));
         const othersAreHeard = rest.every(hostId => silentMs(hostId) < 2 * ctx.timing.heartbeatMs + ctx.timing.electionMs);
         if (longest !== undefined && silentMs(longest) >= replacement.absentMs && othersAreHeard) {
@@ -294,7 +295,10 @@
             peer.nextIndex = Math.max(1, Math.min(message.index, ctx.log.lastIndex() + 1));
         }
         advance();
-        if (peer.nextIndex <= ctx.log.lastIndex() || (peer.matchIndex === ctx.log.lastIndex() && peer.toldCommit < ctx.commitIndex)) {
+        if (
+            peer.nextIndex <= ctx.log.lastIndex()
+            || (peer.matchIndex === ctx.log.lastIndex() && peer.toldCommit < ctx.commitIndex)
+        ) {
             sendTo(from, peer);
         }
     };
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -1,8 +1,8 @@
 /** One state host as a pure state machine: events in, writes, messages and replies out. */
+import type { FleetMachine } from "../fleet/fleet-machine.js";
 import { StateReplyKind, StateRequestKind, StateRole } from "../state-messages.js";
 import type { StateRequest, StateStatus } from "../state-messages.js";
 import { createConfigurationMachine, createMachineState } from "./configuration-machine.js";
-import type { FleetMachine } from "../fleet/fleet-machine.js";
 import { createElection } from "./election.js";
 import { createFollower } from "./follower.js";
 import { createFirstSnapshot, createFounding, firstSnapshotWrite } from "./founding.js";
@@ -43,6 +43,8 @@
     ageMs(now: number): number;
     /** The hosts whose disks vote. */
     voters(): string[];
+    /** Names further hosts to ask, for a host that does not vote. */
+    addContacts(hostIds: readonly string[]): void;
     /** Whether the host may stop: it does not lead and no request waits. */
     isIdle(): boolean;
 }
@@ -148,6 +150,13 @@
         }
     };
 
+    const addContacts = (hostIds: readonly string[]): void => {
+        // The hosts of a first start are fixed until it is done.
+        if (!ctx.hard.founding) {
+            hostIds.filter(hostId => hostId !== ctx.hostId).forEach(hostId => ctx.contacts.add(hostId));
+        }
+    };
+
     const onMessage: Handlers<PeerMessageKind, PeerMessage> = {
         [PeerMessageKind.Greet]: (message, from) => founding.receiveGreet(from, message.nonce),
         [PeerMessageKind.GreetReply]: (message, from) => founding.receiveGreetReply(from, message.nonce, message.fresh),
@@ -160,11 +169,7 @@
                 ctx.send(from, { kind: PeerMessageKind.Voters, hostIds: [ctx.hostId, ...otherVoters(ctx)] });
             }
         },
-        [PeerMessageKind.Voters]: message => {
-            for (const hostId of message.hostIds.filter(known => known !== ctx.hostId)) {
-                ctx.contacts.add(hostId);
-            }
-        },
+        [PeerMessageKind.Voters]: message => addContacts(message.hostIds),
         [PeerMessageKind.Vote]: (message, from) => election.receiveVote(from, message),
         [PeerMessageKind.VoteReply]: (message, from) => election.receiveVoteReply(from, message),
         [PeerMessageKind.Append]: (message, from) => {
@@ -259,6 +264,7 @@
         fleet: () => isCaughtUp() ? ctx.machine.fleet : undefined,
         ageMs,
         voters: () => Object.keys(log.voters()),
+        addContacts,
         isIdle: () => ctx.role !== StateRole.Leader && desk.size() === 0,
     };
 };
--- a/packages/core/src/lib/fleet/fleet-machine.ts
+++ b/packages/core/src/lib/fleet/fleet-machine.ts
@@ -1,6 +1,6 @@
 /** The replicated view of the fleet: the published configuration, the backend servers and the hosts. */
 import { FactKind, HostPhase, ServingState } from "./facts.js";
-import type { Fact, FleetHost, ServerAnnouncement, FleetServer } from "./facts.js";
+import type { Fact, FleetHost, FleetServer, ServerAnnouncement } from "./facts.js";
 
 /** A configuration whose number its operator chose; the highest number is in force. */
 export interface Published {
@@ -106,7 +106,10 @@
     /** Whether an announcement comes from a process that another one has replaced. */
     const isOutdated = (server: ServerAnnouncement): boolean => {
         const known = servers.get(server.serverId);
-        if (known !== undefined && (server.bornAt < known.bornAt || (server.bornAt === known.bornAt && known.state === ServingState.Gone))) {
+        if (
+            known !== undefined
+            && (server.bornAt < known.bornAt || (server.bornAt === known.bornAt && known.state === ServingState.Gone))
+        ) {
             return true;
         }
         const holder = servers.get(byAddress.get(server.address) ?? "");
--- /dev/null
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -0,0 +1,109 @@
+/** Which state host an entry host listens to: the nearest one whose view a majority has confirmed lately. */
+import type { Random } from "../random.js";
+
+/** A state host that can be listened to. */
+export interface StateContact {
+    /** "host:port" of its link. */
+    address: string;
+    /** `undefined` while only the address is known. */
+    availabilityZone?: string;
+    region?: string;
+}
+
+/** Options of {@link createAttachment}. */
+export interface AttachmentCfg {
+    availabilityZone: string;
+    region: string;
+    seeds: readonly string[];
+    random: Random;
+}
+
+/** The choice of one entry host; the caller carries out what it returns. */
+export interface Attachment {
+    /** The state hosts that the fleet names now. */
+    setContacts(contacts: readonly StateContact[]): void;
+    setSeeds(seeds: readonly string[]): void;
+    /** The connection to `address` failed, or ended. */
+    lost(address: string, now: number): void;
+    /** The attached host's view was confirmed by a majority `ageMs` ago. */
+    heard(address: string, ageMs: number, now: number): void;
+    /** Where to connect next, when a new connection is wanted at `now`; `undefined` to stay. */
+    next(now: number): string | undefined;
+    current(): string | undefined;
+    /** Age of what is known, in milliseconds: since a majority confirmed it. */
+    ageMs(now: number): number;
+}
+
+/** With a view older than this, in milliseconds, another host is tried; well within the 2.5 s in which changes bind. */
+const maxViewAgeMs = 1200;
+/** A host that failed is tried last for this long, in milliseconds. */
+const avoidMs = 3000;
+/** Shortest time between two tries, in milliseconds. */
+const retryMs = 250;
+
+/** Creates the choice of one entry host. */
+export const createAttachment = (cfg: AttachmentCfg): Attachment => {
+    let seeds = [...cfg.seeds];
+    let contacts: readonly StateContact[] = [];
+    let current: string | undefined;
+    let confirmedAt = -Infinity;
+    let triedAt = -Infinity;
+    const avoidUntil = new Map<string, number>();
+
+    const distance = (contact: StateContact): number => {
+        if (contact.availabilityZone === cfg.availabilityZone) {
+            return 0;
+        }
+        return contact.region === cfg.region ? 1 : 2;
+    };
+
+    const candidates = (): StateContact[] => {
+        const known = new Set(contacts.map(contact => contact.address));
+        return [...contacts, ...seeds.filter(address => !known.has(address)).map(address => ({ address }))];
+    };
+
+    const best = (now: number): string | undefined => {
+        const rank = (contact: StateContact): number =>
+            ((avoidUntil.get(contact.address) ?? -Infinity) > now ? 10 : 0) + distance(contact) + cfg.random.next() / 2;
+        return candidates().filter(contact => contact.address !== current)
+            .map(contact => ({ address: contact.address, rank: rank(contact) }))
+            .sort((a, b) => a.rank - b.rank)[0]?.address;
+    };
+
+    return {
+        setContacts: list => {
+            contacts = list;
+        },
+        setSeeds: list => {
+            seeds = [...list];
+        },
+        lost: (address, now) => {
+            avoidUntil.set(address, now + avoidMs);
+            if (current === address) {
+                current = undefined;
+            }
+        },
+        heard: (address, ageMs, now) => {
+            if (address === current) {
+                confirmedAt = Math.max(confirmedAt, now - ageMs);
+            }
+        },
+        next: now => {
+            const isFresh = now - confirmedAt <= maxViewAgeMs;
+            if ((current !== undefined && isFresh) || now - triedAt < (current === undefined ? retryMs : maxViewAgeMs)) {
+                return undefined;
+            }
+            if (current !== undefined) {
+                avoidUntil.set(current, now + avoidMs);
+            }
+            const address = best(now);
+            if (address !== undefined) {
+                triedAt = now;
+                current = address;
+            }
+            return address;
+        },
+        current: () => current,
+        ageMs: now => now - confirmedAt,
+    };
+};
--- /dev/null
+++ b/packages/core/src/lib/gateway/index.ts
@@ -0,0 +1,12 @@
+/** Decisions of entry hosts that serve published configurations. */
+export * from "./attachment.js";
+export * from "./caller-addresses.js";
+export * from "./fleet-messages.js";
+export * from "./gateway-config.js";
+export * from "./keeper.js";
+export * from "./latency-book.js";
+export * from "./request-plan.js";
+export * from "./retry-allowance.js";
+export * from "./route-index.js";
+export * from "./server-belief.js";
+export * from "./server-pool.js";
--- a/packages/core/src/lib/state-messages.ts
+++ b/packages/core/src/lib/state-messages.ts
@@ -99,8 +99,16 @@
     kind: StateRequestKind.ReadPublished;
 }
 
-export type StateRequest = ApplyRequest | ReadRequest | WatchRequest | StatusRequest | HistoryRequest | EnrollRequest | PublishRequest
-    | FactsRequest | ReadPublishedRequest;
+export type StateRequest =
+    | ApplyRequest
+    | ReadRequest
+    | WatchRequest
+    | StatusRequest
+    | HistoryRequest
+    | EnrollRequest
+    | PublishRequest
+    | FactsRequest
+    | ReadPublishedRequest;
 
 export enum StateReplyKind {
     Applied = "applied",
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,4 @@
+/** The entry host of a fleet that serves published configurations. */
+export * from "./lib/entry-gateway.js";
+export * from "./lib/gateway-metrics.js";
+export type { ExchangeHeaders } from "./lib/headers.js";
--- /dev/null
+++ b/packages/gateway/src/lib/exchange.ts
@@ -0,0 +1,173 @@
+/** One send of a request to one backend server, on a connection of its own. */
+import { SendOutcome } from "@cassiapick/core";
+import { request as httpRequest } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import { valueOf } from "./headers.js";
+import type { ExchangeHeaders, RawHeaders } from "./headers.js";
+
+/** What is sent. */
+export interface ExchangeRequest {
+    /** "host:port" of the server. */
+    address: string;
+    method: string;
+    target: string;
+    headers: RawHeaders;
+    body: Buffer;
+    requestId: string | undefined;
+}
+
+/** An answer whose body is whole, or comes in as `stream`. */
+export interface ServerAnswer {
+    status: number;
+    headers: RawHeaders;
+    body: Buffer;
+    /** The rest of a body that is too long to be held; it may still break off. */
+    stream?: IncomingMessage;
+}
+
+/** How a send ended. */
+export interface ExchangeResult {
+    outcome: SendOutcome;
+    /** With `Answered` and `ServerError`. */
+    answer?: ServerAnswer;
+    /** What was seen, for the log. */
+    detail: string;
+}
+
+/** A send under way. */
+export interface Exchange {
+    readonly result: Promise<ExchangeResult>;
+    /** Closes the connection, so that the server stops work. */
+    cancel(): void;
+}
+
+/** Options of {@link startExchange}. */
+export interface ExchangeOptions {
+    names: ExchangeHeaders;
+    localAddress?: string;
+    /** How long a connection may take to open, in milliseconds. */
+    connectTimeoutMs: number;
+    /** How long the server may take to answer, in milliseconds. */
+    timeoutMs: number;
+}
+
+/** Longer bodies are passed on while they come in. */
+const maxHeldBytes = 256 * 1024;
+const serverErrorStatus = 500;
+const misdirectedStatus = 421;
+/** Statuses that tell a caller that its request has not run; only a server's own mark makes that true. */
+const promisingStatuses = new Set([408, 421, 429, 503]);
+
+/** Sends a request. The result never rejects. */
+export const startExchange = (req: ExchangeRequest, options: ExchangeOptions): Exchange => {
+    const { names } = options;
+    const colon = req.address.lastIndexOf(":");
+    let settle: (result: ExchangeResult) => void = () => undefined;
+    const result = new Promise<ExchangeResult>(resolve => {
+        settle = resolve;
+    });
+    let isDone = false;
+    let isConnected = false;
+    let client: ClientRequest | undefined;
+    let timer: NodeJS.Timeout | undefined;
+
+    const finish = (outcome: SendOutcome, detail: string, answer?: ServerAnswer): void => {
+        if (isDone) {
+            return;
+        }
+        isDone = true;
+        clearTimeout(timer);
+        settle({ outcome, detail, answer });
+        if (answer?.stream === undefined) {
+            client?.destroy();
+        }
+    };
+
+    /** Before the connection is open no byte of the request has left this process. */
+    const fail = (outcome: SendOutcome, detail: string): void => finish(isConnected ? outcome : SendOutcome.NotSent, detail);
+
+    const classify = (res: IncomingMessage): SendOutcome | undefined => {
+        const status = res.statusCode ?? 0;
+        if (valueOf(res.rawHeaders, names.notRun) !== undefined) {
+            return SendOutcome.Declined;
+        }
+        if (status === misdirectedStatus) {
+            return SendOutcome.WrongServer;
+        }
+        const echoed = valueOf(res.rawHeaders, names.requestId);
+        if (req.requestId !== undefined && echoed !== undefined && echoed !== req.requestId) {
+            return SendOutcome.Broken;
+        }
+        const isSuccess = status >= 200 && status < 300;
+        if ((isSuccess && valueOf(res.rawHeaders, names.signature) === undefined) || promisingStatuses.has(status)) {
+            return SendOutcome.Broken;
+        }
+        return valueOf(res.rawHeaders, "content-encoding") === undefined ? undefined : SendOutcome.Broken;
+    };
+
+    const collect = (res: IncomingMessage): void => {
+        const status = res.statusCode ?? 0;
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        const deliver = (stream?: IncomingMessage): void => {
+            const outcome = status >= serverErrorStatus ? SendOutcome.ServerError : SendOutcome.Answered;
+            finish(outcome, `status ${status}`, { status, headers: res.rawHeaders, body: Buffer.concat(chunks), stream });
+        };
+        res.on("data", (chunk: Buffer) => {
+            if (isDone) {
+                return;
+            }
+            chunks.push(chunk);
+            bytes += chunk.length;
+            if (bytes > maxHeldBytes) {
+                res.pause();
+                res.removeAllListeners("data");
+                deliver(res);
+            }
+        });
+        res.on("end", () => {
+            if (res.complete) {
+                deliver();
+            }
+            else {
+                fail(SendOutcome.Broken, "the answer ended early");
+            }
+        });
+        res.on("error", err => fail(SendOutcome.Broken, `the answer broke off: ${err.message}`));
+        res.on("close", () => fail(SendOutcome.Broken, "the answer broke off"));
+    };
+
+    client = httpRequest({
+        host: req.address.slice(0, colon),
+        port: Number(req.address.slice(colon + 1)),
+        localAddress: options.localAddress,
+        method: req.method,
+        path: req.target,
+        headers: [...req.headers],
+        agent: false,
+        setHost: false,
+    });
+    client.on("socket", socket => {
+        socket.setNoDelay(true);
+        const connectTimer = setTimeout(() => fail(SendOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
+        socket.once("connect", () => {
+            isConnected = true;
+            clearTimeout(connectTimer);
+        });
+        socket.once("close", () => clearTimeout(connectTimer));
+    });
+    client.on("response", res => {
+        const rejected = classify(res);
+        if (rejected !== undefined) {
+            finish(rejected, `status ${res.statusCode ?? 0}`);
+            return;
+        }
+        collect(res);
+    });
+    client.on("error", err => fail(SendOutcome.Broken, err.message));
+    client.on("close", () => fail(SendOutcome.Broken, "the connection closed without an answer"));
+    timer = setTimeout(() => fail(SendOutcome.TimedOut, "no answer in time"), options.timeoutMs);
+    client.end(req.body);
+
+    return { result, cancel: () => finish(SendOutcome.Cancelled, "cancelled") };
+};
--- /dev/null
+++ b/packages/gateway/src/lib/state-link.ts
@@ -0,0 +1,167 @@
+/** Listens to one state host at a time, and tells it what this host sees. */
+import { createAttachment, isLinkMessage, LinkMessageKind, toReportRow } from "@cassiapick/core";
+import type { EntryHello, HostPhase, LinkMessage, Random, ServerReport } from "@cassiapick/core";
+import type { EventLog } from "@cassiapick/operations";
+import { openLink } from "@cassiapick/wire";
+import type { Link } from "@cassiapick/wire";
+
+/** Options of {@link createStateLink}. */
+export interface StateLinkOptions {
+    availabilityZone: string;
+    region: string;
+    /** State hosts to try first, as "host:port". */
+    seeds: readonly string[];
+    localAddress: string;
+    random: Random;
+    clock: () => number;
+    log: EventLog;
+    /** What this host says of itself when a connection opens. */
+    hello: () => EntryHello;
+    /** Takes messages other than those about the link itself. */
+    receive: (message: LinkMessage) => void;
+    /** The reported load of other hosts no longer counts. */
+    detached: () => void;
+    drainReports: () => ServerReport[];
+}
+
+/** The connection to the state hosts. */
+export interface StateLink {
+    /** Age of what is known of the fleet, in milliseconds. */
+    ageMs(): number;
+    setSeeds(seeds: readonly string[]): void;
+    tellPhase(phase: HostPhase): void;
+    close(): void;
+}
+
+const connectTimeoutMs = 600;
+/** The state host tells the age of its view more often than this, in milliseconds. */
+const silenceMs = 1300;
+const checkMs = 100;
+/** Reports go out at most this often, in milliseconds. */
+const reportMs = 100;
+/** With nothing to report, a sign of life goes out this often, in milliseconds. */
+const aliveMs = 800;
+/** With a view older than this, in milliseconds, the log says so. */
+const staleMs = 2000;
+
+/** Creates the connection; it looks for a state host until it is closed. */
+export const createStateLink = (options: StateLinkOptions): StateLink => {
+    const { clock, log } = options;
+    const attachment = createAttachment(options);
+    let link: Link | undefined;
+    let isOpen = false;
+    let sentAt = 0;
+    let isStale = true;
+
+    const send = (message: LinkMessage): void => {
+        if (isOpen && link !== undefined) {
+            link.send(message);
+            sentAt = clock();
+        }
+    };
+
+    const receive = (address: string, message: unknown): void => {
+        if (!isLinkMessage(message)) {
+            log.log("peerRejected", { reason: "The message is of no kind that this version knows.", address });
+            link?.close();
+            return;
+        }
+        if (message.k === LinkMessageKind.View) {
+            attachment.heard(address, message.ageMs < 0 ? Infinity : message.ageMs, clock());
+            return;
+        }
+        if (message.k === LinkMessageKind.Contacts) {
+            attachment.setContacts(message.contacts);
+        }
+        options.receive(message);
+    };
+
+    const attach = (address: string): void => {
+        link?.close();
+        isOpen = false;
+        const colon = address.lastIndexOf(":");
+        const host = address.slice(0, colon);
+        const port = Number(address.slice(colon + 1));
+        link = openLink({ host, port, localAddress: options.localAddress, connectTimeoutMs, silenceMs }, {
+            opened: opened => {
+                if (opened !== link) {
+                    return;
+                }
+                isOpen = true;
+                const hello = options.hello();
+                log.log("stateHostAttached", {
+                    address,
+                    configNumber: hello.configNumber,
+                    serversRevision: hello.serversRevision,
+                });
+                send(hello);
+            },
+            message: (from, message) => {
+                if (from === link) {
+                    receive(address, message);
+                }
+            },
+            closed: (closed, reason) => {
+                if (closed !== link) {
+                    return;
+                }
+                link = undefined;
+                isOpen = false;
+                attachment.lost(address, clock());
+                options.detached();
+                log.log("stateHostLost", { address, reason, viewAgeMs: roundedAge() });
+            },
+        });
+    };
+
+    const roundedAge = (): number | undefined => {
+        const age = attachment.ageMs(clock());
+        return Number.isFinite(age) ? Math.round(age) : undefined;
+    };
+
+    const noteAge = (): void => {
+        const nowStale = attachment.ageMs(clock()) > staleMs;
+        if (nowStale !== isStale) {
+            isStale = nowStale;
+            log.log(nowStale ? "viewStale" : "viewFresh", { viewAgeMs: roundedAge(), address: attachment.current() });
+        }
+    };
+
+    const check = (): void => {
+        const address = attachment.next(clock());
+        if (address !== undefined) {
+            attach(address);
+        }
+        noteAge();
+    };
+
+    const report = (): void => {
+        if (!isOpen) {
+            return;
+        }
+        const reports = options.drainReports();
+        if (reports.length > 0) {
+            send({ k: LinkMessageKind.Report, r: reports.map(toReportRow) });
+        }
+        else if (clock() - sentAt > aliveMs) {
+            send({ k: LinkMessageKind.Alive });
+        }
+    };
+
+    const timers = [setInterval(check, checkMs), setInterval(report, reportMs)];
+    check();
+
+    return {
+        ageMs: () => attachment.ageMs(clock()),
+        setSeeds: seeds => attachment.setSeeds(seeds),
+        tellPhase: phase => send({ k: LinkMessageKind.Phase, phase }),
+        close: () => {
+            for (const timer of timers) {
+                clearInterval(timer);
+            }
+            const closing = link;
+            link = undefined;
+            closing?.close();
+        },
+    };
+};
--- a/packages/operations/src/lib/event-log.ts
+++ b/packages/operations/src/lib/event-log.ts
@@ -20,6 +20,8 @@
     write?: (line: string) => void;
     /** The wall clock, in milliseconds since 1970; the system's by default. */
     now?: () => number;
+    /** Writes informational events whatever DEBUG says, and leaves out the meaning, which docs/EVENTS.md tells by the code. */
+    everyEvent?: boolean;
 }
 
 /** Writes events of one process. */
@@ -62,7 +64,7 @@
 
     const log = (name: EventName, given: EventFields = {}): void => {
         const definition = events[name];
-        if (definition.level === EventLevel.Info && !logger.enabled) {
+        if (definition.level === EventLevel.Info && !logger.enabled && options.everyEvent !== true) {
             return;
         }
         const fields = clipFields(given);
@@ -77,7 +79,7 @@
                     event: name,
                     program: options.program,
                     hostId: options.hostId,
-                    meaning,
+                    meaning: options.everyEvent === true ? undefined : meaning,
                     ...fields,
                 }),
             );
--- a/packages/state/src/lib/data-folder.ts
+++ b/packages/state/src/lib/data-folder.ts
@@ -21,6 +21,8 @@
     wasEmpty: boolean;
     /** Makes the writes durable in their order. Rejects when the disk fails; the process must then stop. */
     write(actions: readonly WriteAction[]): Promise<void>;
+    /** Writes and syncs everything that `stored` holds anew; what an earlier sync refused is then not relied on. */
+    rewrite(): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -161,9 +163,17 @@
         await flush();
     };
 
+    const rewrite = async ({ hardState, snapshot, entries }: StoredState): Promise<void> => {
+        if (snapshot !== undefined) {
+            await replace(snapshotFile, encodeRecord(snapshot));
+        }
+        await replaceLog(snapshot?.index ?? 0, snapshot?.term ?? 0, entries);
+        await replace(hardStateFile, encodeRecord(hardState));
+    };
+
     const opened = (stored: StoredState, wasEmpty: boolean): DataFolderResult => ({
         ok: true,
-        folder: { stored, wasEmpty, write, close: () => disk.close() },
+        folder: { stored, wasEmpty, write, rewrite: () => rewrite(stored), close: () => disk.close() },
     });
 
     const create = async (): Promise<DataFolderResult> => {
--- /dev/null
+++ b/packages/wire/src/lib/link.ts
@@ -0,0 +1,133 @@
+/** Connections that carry messages both ways, as frames. */
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { createFrameReader, encodeFrame } from "./frame-codec.js";
+
+/** One open connection. */
+export interface Link {
+    /** Sends a message; a peer that does not read loses the connection once too much waits for it. */
+    send(message: unknown): void;
+    /** Sends a frame that was encoded before, so that many links share one encoding. */
+    sendFrame(frame: Uint8Array): void;
+    close(): void;
+}
+
+/** What happens on one connection. */
+export interface LinkHandlers {
+    opened?: (link: Link) => void;
+    message: (link: Link, message: unknown) => void;
+    /** The last event of a connection; `reason` tells people why. */
+    closed: (link: Link, reason: string) => void;
+}
+
+/** Options of {@link openLink}. */
+export interface OpenLinkOptions {
+    host: string;
+    port: number;
+    /** The local address to connect from. */
+    localAddress?: string;
+    connectTimeoutMs: number;
+    /** The connection is closed when nothing arrives for this long, in milliseconds. */
+    silenceMs: number;
+}
+
+/** Options of {@link createLinkServer}. */
+export interface LinkServerOptions {
+    host: string;
+    /** 0 lets the system choose. */
+    port: number;
+    /** A connection is closed when nothing arrives for this long, in milliseconds. */
+    silenceMs: number;
+}
+
+/** A listening server. */
+export interface LinkServer {
+    port: number;
+    /** Stops listening and closes every connection. */
+    close(): Promise<void>;
+}
+
+/** A peer that leaves this many bytes unread loses its connection: it would otherwise get ever older messages. */
+const maxUnreadBytes = 4 * 1024 * 1024;
+
+/** Serves one socket; its silence is watched from now on. */
+const serve = (socket: Socket, handlers: LinkHandlers, silenceMs: number): Link => {
+    const reader = createFrameReader();
+    let reason = "The peer closed the connection.";
+    const fail = (message: string): void => {
+        reason = message;
+        socket.destroy();
+    };
+    const sendFrame = (frame: Uint8Array): void => {
+        if (socket.destroyed) {
+            return;
+        }
+        if (socket.writableLength > maxUnreadBytes) {
+            fail("The peer does not read what it is sent.");
+            return;
+        }
+        socket.write(frame);
+    };
+    const link: Link = {
+        send: message => sendFrame(encodeFrame(message)),
+        sendFrame,
+        close: () => fail("This host closed the connection."),
+    };
+    socket.setTimeout(silenceMs, () => fail(`Nothing arrived for ${silenceMs} ms.`));
+    socket.on("data", chunk => {
+        const result = reader.push(chunk);
+        if (!result.ok) {
+            fail(result.err.message);
+            return;
+        }
+        for (const message of result.values) {
+            handlers.message(link, message);
+        }
+    });
+    socket.on("end", () => socket.destroy());
+    socket.on("error", err => {
+        reason = `${err.message}.`;
+    });
+    socket.on("close", () => handlers.closed(link, reason));
+    return link;
+};
+
+/** Opens a connection; `closed` follows also when it never opens. */
+export const openLink = (options: OpenLinkOptions, handlers: LinkHandlers): Link => {
+    const { host, port, localAddress } = options;
+    const socket = connect({ host, port, localAddress, noDelay: true });
+    const link = serve(socket, handlers, options.connectTimeoutMs);
+    socket.once("connect", () => {
+        socket.setTimeout(options.silenceMs);
+        handlers.opened?.(link);
+    });
+    return link;
+};
+
+/** Listens for connections; rejects when the address can't be used. */
+export const createLinkServer = async (options: LinkServerOptions, handlers: LinkHandlers): Promise<LinkServer> => {
+    const sockets = new Set<Socket>();
+    const server = createServer({ noDelay: true }, socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+        const link = serve(socket, handlers, options.silenceMs);
+        handlers.opened?.(link);
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+    return {
+        port: (server.address() as AddressInfo).port,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                for (const socket of sockets) {
+                    socket.destroy();
+                }
+            }),
+    };
+};
