--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -11,7 +11,6 @@
 } from "@cassiapick/core";
 import type {
     EntryHello,
-    Fact,
     FleetMachine,
     GatewayConfig,
     HostAnnouncement,
@@ -29,6 +28,7 @@
 import { createLinkServer, encodeFrame } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { createEntryLinks } from "./entry-links.js";
+import { createFactDesk } from "./fact-desk.js";
 import { createPeerLinks } from "./peer-links.js";
 
 /** Options of {@link startControlHost}. */
@@ -82,8 +82,6 @@
     stop(): Promise<void>;
 }
 
-/** Facts that come within this time, in milliseconds, are agreed on together. */
-const gatherFactsMs = 8;
 /** How often the agreed view is compared with what this host sees, in milliseconds. */
 const compareMs = 300;
 /** How often reports of entry hosts are passed on, in milliseconds: well below the time between two requests to a server. */
@@ -171,22 +169,7 @@
             });
         });
 
-    let gathered: Fact[] = [];
-    let gatheredReply: Promise<StateReply> | undefined;
-
-    /** Facts that come together share one position of the log. */
-    const record = (facts: readonly Fact[]): Promise<StateReply> => {
-        gathered.push(...facts);
-        gatheredReply ??= new Promise(resolve => {
-            setTimeout(() => {
-                const together = gathered;
-                gathered = [];
-                gatheredReply = undefined;
-                void driver.request({ kind: StateRequestKind.Facts, facts: together }).then(resolve);
-            }, gatherFactsMs);
-        });
-        return gatheredReply;
-    };
+    const record = createFactDesk(facts => driver.request({ kind: StateRequestKind.Facts, facts }));
 
     const selfAnnouncement = (): HostAnnouncement => ({
         hostId,
--- /dev/null
+++ b/packages/core/src/test/attachment_test.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import { createAttachment, createRandom } from "../index.js";
+import type { Attachment } from "../index.js";
+
+const contacts = [
+    { address: "near:1", availabilityZone: "a1", region: "a" },
+    { address: "region:1", availabilityZone: "a2", region: "a" },
+    { address: "far:1", availabilityZone: "b1", region: "b" },
+];
+
+const create = (seeds: string[] = ["seed:1"]): Attachment =>
+    createAttachment({ availabilityZone: "a1", region: "a", seeds, random: createRandom(1) });
+
+describe("attachment", () => {
+    it("begins with a seed and stays while its view is fresh", () => {
+        const attachment = create();
+        expect(attachment.next(0)).to.equal("seed:1");
+        for (let now = 0; now < 5000; now += 400) {
+            attachment.heard("seed:1", 100, now);
+            expect(attachment.next(now)).to.equal(undefined);
+        }
+        expect(attachment.ageMs(5000)).to.be.below(1200);
+    });
+
+    const leaving: { name: string; act: (attachment: Attachment, now: number) => void; }[] = [
+        {
+            name: "leaves a state host that no majority confirms",
+            act: (attachment, now) => attachment.heard("near:1", Infinity, now),
+        },
+        { name: "leaves a state host whose view is old", act: (attachment, now) => attachment.heard("near:1", 1000 + now, now) },
+        { name: "leaves a state host that says nothing", act: () => undefined },
+    ];
+    for (const { name, act } of leaving) {
+        it(`${name}, well before changes bind`, () => {
+            const attachment = create([]);
+            attachment.setContacts(contacts);
+            expect(attachment.next(0)).to.equal("near:1");
+            let movedAt: number | undefined;
+            for (let now = 100; now < 3000 && movedAt === undefined; now += 100) {
+                act(attachment, now);
+                const next = attachment.next(now);
+                if (next !== undefined) {
+                    expect(next).to.equal("region:1");
+                    movedAt = now;
+                }
+            }
+            expect(movedAt).to.be.at.most(1500);
+        });
+    }
+
+    it("tries the next one soon when a connection fails, and comes back to no failed one at once", () => {
+        const attachment = create([]);
+        attachment.setContacts(contacts);
+        const tried: (string | undefined)[] = [];
+        for (let now = 0; now < 1000; now += 250) {
+            const next = attachment.next(now);
+            tried.push(next);
+            attachment.lost(next ?? "", now);
+        }
+        expect(tried.slice(0, 3)).to.deep.equal(["near:1", "region:1", "far:1"]);
+    });
+
+    it("takes new seeds when all it knows is gone", () => {
+        const attachment = create(["old:1"]);
+        expect(attachment.next(0)).to.equal("old:1");
+        attachment.lost("old:1", 100);
+        attachment.setSeeds(["new:1"]);
+        expect(attachment.next(400)).to.equal("new:1");
+    });
+});
--- /dev/null
+++ b/packages/core/src/test/server-pool_test.ts
@@ -0,0 +1,152 @@
+import { expect } from "chai";
+import { createRandom, createServerPool, Repeatability, ServingState, Sign } from "../index.js";
+import type { FleetServer, ServerPool } from "../index.js";
+
+const { AtMostOnce, Repeatable } = Repeatability;
+const regions = { a1: "a", a2: "a", b1: "b" };
+const service = "quotes";
+const none: ReadonlySet<number> = new Set();
+
+const server = (number: number, availabilityZone: string, change: Partial<FleetServer> = {}): FleetServer => ({
+    number,
+    serverId: `s${number}`,
+    service,
+    address: `10.0.0.${number}:80`,
+    availabilityZone,
+    slots: 3,
+    state: ServingState.Ready,
+    bornAt: 0,
+    warmAt: 0,
+    silent: false,
+    keeper: "",
+    revision: number,
+    ...change,
+});
+
+const createPool = (servers: FleetServer[], seed = 1): ServerPool => {
+    const pool = createServerPool({
+        place: { availabilityZone: "a1", regions },
+        random: createRandom(seed),
+        wallClock: () => 10_000,
+    });
+    pool.update(servers);
+    return pool;
+};
+
+const near = server(1, "a1");
+const region = server(2, "a2");
+const far = server(3, "b1");
+
+const chosen = (pool: ServerPool, now: number, repeatability = AtMostOnce, excluded = none): number | undefined =>
+    pool.choose(service, repeatability, excluded, now)?.server.number;
+
+describe("server pool", () => {
+    const cases: {
+        name: string;
+        servers?: FleetServer[];
+        prepare?: (pool: ServerPool) => void;
+        now?: number;
+        expected: number | undefined;
+    }[] = [
+        { name: "prefers its own availability zone", expected: 1 },
+        { name: "avoids a server after one failure", prepare: pool => pool.ended(1, Sign.Failure, 0), expected: 2 },
+        {
+            name: "avoids a server that another host saw fail",
+            prepare: pool => pool.takeReport("h", { number: 1, successes: 0, failures: 1, inFlight: 0 }, 0),
+            expected: 2,
+        },
+        {
+            name: "trusts a server again after successes",
+            prepare: pool => {
+                pool.ended(1, Sign.Failure, 0);
+                pool.ended(1, Sign.Success, 10);
+                pool.ended(1, Sign.Success, 20);
+                pool.ended(1, Sign.Success, 30);
+            },
+            now: 40,
+            expected: 1,
+        },
+        {
+            name: "tries a server that failed again after a while",
+            prepare: pool => pool.ended(1, Sign.Failure, 0),
+            now: 30_000,
+            expected: 1,
+        },
+        {
+            name: "counts the load that other hosts report",
+            prepare: pool => {
+                pool.takeReport("h1", { number: 1, successes: 0, failures: 0, inFlight: 4 }, 0);
+                pool.takeReport("h2", { number: 1, successes: 0, failures: 0, inFlight: 1 }, 0);
+            },
+            expected: 2,
+        },
+        {
+            name: "drops the load of a host that left",
+            prepare: pool => {
+                pool.takeReport("h1", { number: 1, successes: 0, failures: 0, inFlight: 5 }, 0);
+                pool.forgetHost("h1");
+            },
+            expected: 1,
+        },
+        {
+            name: "sends nothing to a leaving server",
+            servers: [server(1, "a1", { state: ServingState.Draining }), region],
+            expected: 2,
+        },
+        { name: "sends nothing where another server answered", prepare: pool => pool.noteReplaced(1), expected: 2 },
+        {
+            name: "puts a silent server behind one in the region",
+            servers: [server(1, "a1", { silent: true }), region],
+            expected: 2,
+        },
+        { name: "uses a silent server when there is no other", servers: [server(1, "a1", { silent: true })], expected: 1 },
+        { name: "spares a cold server", servers: [server(1, "a1", { warmAt: 12_000 }), region], expected: 2 },
+        { name: "finds none where all are gone", servers: [server(1, "a1", { state: ServingState.Gone })], expected: undefined },
+    ];
+    for (const { name, servers = [near, region, far], prepare, now = 1, expected } of cases) {
+        it(name, () => {
+            const pool = createPool(servers);
+            prepare?.(pool);
+            expect(chosen(pool, now)).to.equal(expected);
+        });
+    }
+
+    it("goes to another region when the own one fails", () => {
+        const pool = createPool([near, region, far]);
+        pool.ended(1, Sign.Failure, 0);
+        pool.ended(2, Sign.Failure, 0);
+        expect(chosen(pool, 1)).to.equal(3);
+    });
+
+    it("finds out by a repeatable request whether a server has recovered, before others", () => {
+        const pool = createPool([near, far]);
+        pool.ended(1, Sign.Failure, 0);
+        pool.ended(3, Sign.Success, 0);
+        const firstUse = (repeatability: Repeatability): number => {
+            for (let now = 0; now < 60_000; now += 100) {
+                if (chosen(pool, now, repeatability) === 1) {
+                    return now;
+                }
+            }
+            return Infinity;
+        };
+        expect(firstUse(Repeatable)).to.be.below(firstUse(AtMostOnce));
+    });
+
+    it("reports each change once", () => {
+        const pool = createPool([near]);
+        pool.began(1);
+        expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 0, inFlight: 1 }]);
+        pool.ended(1, Sign.Failure, 5);
+        expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 1, inFlight: 0 }]);
+        expect(pool.drainReports()).to.deep.equal([]);
+    });
+
+    it("forgets the evidence of an earlier process under the same name", () => {
+        const pool = createPool([near, region]);
+        pool.ended(1, Sign.Failure, 0);
+        pool.update([server(7, "a1", { serverId: "s1" })]);
+        expect(chosen(pool, 1)).to.equal(7);
+        expect(pool.size()).to.equal(2);
+    });
+});
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -1,7 +1,7 @@
 /** One send of a request to one backend server, on a connection of its own. */
 import { SendOutcome } from "@cassiapick/core";
 import { request as httpRequest } from "node:http";
-import type { ClientRequest, IncomingMessage } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { valueOf } from "./headers.js";
 import type { ExchangeHeaders, RawHeaders } from "./headers.js";
 
@@ -68,8 +68,16 @@
     });
     let isDone = false;
     let isConnected = false;
-    let client: ClientRequest | undefined;
-    let timer: NodeJS.Timeout | undefined;
+    const client = httpRequest({
+        host: req.address.slice(0, colon),
+        port: Number(req.address.slice(colon + 1)),
+        localAddress: options.localAddress,
+        method: req.method,
+        path: req.target,
+        headers: [...req.headers],
+        agent: false,
+        setHost: false,
+    });
 
     const finish = (outcome: SendOutcome, detail: string, answer?: ServerAnswer): void => {
         if (isDone) {
@@ -79,7 +87,7 @@
         clearTimeout(timer);
         settle({ outcome, detail, answer });
         if (answer?.stream === undefined) {
-            client?.destroy();
+            client.destroy();
         }
     };
 
@@ -137,16 +145,6 @@
         res.on("close", () => fail(SendOutcome.Broken, "the answer broke off"));
     };
 
-    client = httpRequest({
-        host: req.address.slice(0, colon),
-        port: Number(req.address.slice(colon + 1)),
-        localAddress: options.localAddress,
-        method: req.method,
-        path: req.target,
-        headers: [...req.headers],
-        agent: false,
-        setHost: false,
-    });
     client.on("socket", socket => {
         socket.setNoDelay(true);
         const connectTimer = setTimeout(() => fail(SendOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
@@ -166,7 +164,7 @@
     });
     client.on("error", err => fail(SendOutcome.Broken, err.message));
     client.on("close", () => fail(SendOutcome.Broken, "the connection closed without an answer"));
-    timer = setTimeout(() => fail(SendOutcome.TimedOut, "no answer in time"), options.timeoutMs);
+    const timer = setTimeout(() => fail(SendOutcome.TimedOut, "no answer in time"), options.timeoutMs);
     client.end(req.body);
 
     return { result, cancel: () => finish(SendOutcome.Cancelled, "cancelled") };
--- a/packages/wire/src/lib/link.ts
+++ b/packages/wire/src/lib/link.ts
@@ -50,14 +50,39 @@
 /** A peer that leaves this many bytes unread loses its connection: it would otherwise get ever older messages. */
 const maxUnreadBytes = 4 * 1024 * 1024;
 
-/** Serves one socket; its silence is watched from now on. */
-const serve = (socket: Socket, handlers: LinkHandlers, silenceMs: number): Link => {
+/** A link with its watch over silence; the socket's own time-out would count what is written as a sign of life. */
+interface WatchedLink {
+    link: Link;
+    /** Closes the link when nothing arrives for `silenceMs`; 0 watches no more. */
+    watch: (silenceMs: number) => void;
+}
+
+/** Serves one socket. */
+const serve = (socket: Socket, handlers: LinkHandlers): WatchedLink => {
     const reader = createFrameReader();
     let reason = "The peer closed the connection.";
+    let heardAt = performance.now();
+    let timer: NodeJS.Timeout | undefined;
     const fail = (message: string): void => {
         reason = message;
         socket.destroy();
     };
+    const watch = (silenceMs: number): void => {
+        clearTimeout(timer);
+        if (silenceMs === 0) {
+            return;
+        }
+        heardAt = performance.now();
+        const check = (): void => {
+            const leftMs = heardAt + silenceMs - performance.now();
+            if (leftMs <= 0) {
+                fail(`Nothing arrived for ${silenceMs} ms.`);
+                return;
+            }
+            timer = setTimeout(check, leftMs);
+        };
+        timer = setTimeout(check, silenceMs);
+    };
     const sendFrame = (frame: Uint8Array): void => {
         if (socket.destroyed) {
             return;
@@ -73,8 +98,8 @@
         sendFrame,
         close: () => fail("This host closed the connection."),
     };
-    socket.setTimeout(silenceMs, () => fail(`Nothing arrived for ${silenceMs} ms.`));
     socket.on("data", chunk => {
+        heardAt = performance.now();
         const result = reader.push(chunk);
         if (!result.ok) {
             fail(result.err.message);
@@ -88,17 +113,21 @@
     socket.on("error", err => {
         reason = `${err.message}.`;
     });
-    socket.on("close", () => handlers.closed(link, reason));
-    return link;
+    socket.on("close", () => {
+        clearTimeout(timer);
+        handlers.closed(link, reason);
+    });
+    return { link, watch };
 };
 
 /** Opens a connection; `closed` follows also when it never opens. */
 export const openLink = (options: OpenLinkOptions, handlers: LinkHandlers): Link => {
     const { host, port, localAddress } = options;
     const socket = connect({ host, port, localAddress, noDelay: true });
-    const link = serve(socket, handlers, options.connectTimeoutMs);
+    const { link, watch } = serve(socket, handlers);
+    watch(options.connectTimeoutMs);
     socket.once("connect", () => {
-        socket.setTimeout(options.silenceMs);
+        watch(options.silenceMs);
         handlers.opened?.(link);
     });
     return link;
@@ -110,7 +139,8 @@
     const server = createServer({ noDelay: true }, socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        const link = serve(socket, handlers, options.silenceMs);
+        const { link, watch } = serve(socket, handlers);
+        watch(options.silenceMs);
         handlers.opened?.(link);
     });
     await new Promise<void>((resolve, reject) => {
