Tell a reset from the end of an answer without a length

When the reset is there as the last bytes are read, libuv reports an orderly end and the parser calls the answer whole; shown on real sockets by the new case, which failed first. Ruled out: the length made up (the log says 'ended by its connection'). Change: at the end of such an answer the socket is asked for its peer, which a reset socket has not; longer answers that are passed on while they come in break the caller's connection likewise.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -113,13 +113,21 @@
         res.write(answer.body);
         // A body that breaks off must not look whole: the caller's connection breaks off too.
         stream.on("error", () => res.destroy());
+        stream.on("end", () => {
+            if (answer.isWhole?.() === true) {
+                res.end();
+            }
+            else {
+                res.destroy();
+            }
+        });
         stream.on("close", () => {
             if (!stream.complete) {
                 res.destroy();
             }
         });
         res.on("close", () => stream.destroy());
-        stream.pipe(res);
+        stream.pipe(res, { end: false });
     };
 
     const logEnd = (caller: CallerRequest, reply: Reply): void => {
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -2,6 +2,7 @@
 import { SendOutcome } from "@cassiapick/core";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
+import { connect } from "node:net";
 import { valueOf } from "./headers.js";
 import type { ExchangeHeaders, RawHeaders } from "./headers.js";
 
@@ -23,6 +24,8 @@
     body: Buffer;
     /** The rest of a body that is too long to be held; it may still break off. */
     stream?: IncomingMessage;
+    /** Whether `stream`, which has ended, was whole. */
+    isWhole?: () => boolean;
 }
 
 /** How a send ended. */
@@ -58,12 +61,16 @@
 /** Statuses that tell a caller that its request has not run; only a server's own mark makes that true. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 
+/** Whether only the end of the connection tells where an answer ends. */
+const endsWithConnection = (headers: RawHeaders): boolean =>
+    valueOf(headers, "transfer-encoding") === undefined && valueOf(headers, "content-length") === undefined;
+
 /** How an answer tells its end, for the log. */
 const framingOf = (headers: RawHeaders): string => {
-    if (valueOf(headers, "transfer-encoding") !== undefined) {
-        return "in chunks";
+    if (endsWithConnection(headers)) {
+        return "ended by its connection";
     }
-    return valueOf(headers, "content-length") === undefined ? "ended by its connection" : "with a length";
+    return valueOf(headers, "transfer-encoding") === undefined ? "with a length" : "in chunks";
 };
 
 /** Sends a request. The result never rejects. */
@@ -76,14 +83,23 @@
     });
     let isDone = false;
     let isConnected = false;
-    const client = httpRequest({
+    const socket = connect({
         host: req.address.slice(0, colon),
         port: Number(req.address.slice(colon + 1)),
         localAddress: options.localAddress,
+        noDelay: true,
+    });
+    // When a reset is there as the last bytes are read, the event loop reports an orderly end; but then the socket has no
+    // peer any more. This listener comes before those that close the socket.
+    let wasReset = false;
+    socket.once("end", () => {
+        wasReset = socket.remoteAddress === undefined;
+    });
+    const client = httpRequest({
+        createConnection: () => socket,
         method: req.method,
         path: req.target,
         headers: [...req.headers],
-        agent: false,
         setHost: false,
     });
 
@@ -121,6 +137,8 @@
         return valueOf(res.rawHeaders, "content-encoding") === undefined ? undefined : SendOutcome.Broken;
     };
 
+    const isWhole = (res: IncomingMessage): boolean => res.complete && !(endsWithConnection(res.rawHeaders) && wasReset);
+
     const collect = (res: IncomingMessage): void => {
         const status = res.statusCode ?? 0;
         const chunks: Buffer[] = [];
@@ -132,6 +150,7 @@
                 headers: res.rawHeaders,
                 body: Buffer.concat(chunks),
                 stream,
+                isWhole: () => isWhole(res),
             });
         };
         res.on("data", (chunk: Buffer) => {
@@ -147,26 +166,22 @@
             }
         });
         res.on("end", () => {
-            if (res.complete) {
-                deliver();
-            }
-            else {
+            if (!isWhole(res)) {
                 fail(SendOutcome.Broken, "the answer ended early");
+                return;
             }
+            deliver();
         });
         res.on("error", err => fail(SendOutcome.Broken, `the answer broke off: ${err.message}`));
         res.on("close", () => fail(SendOutcome.Broken, "the answer broke off"));
     };
 
-    client.on("socket", socket => {
-        socket.setNoDelay(true);
-        const connectTimer = setTimeout(() => fail(SendOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
-        socket.once("connect", () => {
-            isConnected = true;
-            clearTimeout(connectTimer);
-        });
-        socket.once("close", () => clearTimeout(connectTimer));
+    const connectTimer = setTimeout(() => fail(SendOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
+    socket.once("connect", () => {
+        isConnected = true;
+        clearTimeout(connectTimer);
     });
+    socket.once("close", () => clearTimeout(connectTimer));
     client.on("response", res => {
         const rejected = classify(res);
         if (rejected !== undefined) {
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -46,6 +46,15 @@
         },
         outcome: SendOutcome.Broken,
     },
+    {
+        // The reset is there when the last bytes are read, and the event loop reports it as an orderly end.
+        name: "an answer without a length whose connection is reset at once",
+        behave: socket => {
+            socket.write(`${ok()}hel`);
+            socket.resetAndDestroy();
+        },
+        outcome: SendOutcome.Broken,
+    },
     {
         name: "an answer that ends early",
         behave: socket => socket.end(`${ok("Content-Length: 9")}hello`),
