--- a/packages/core/src/lib/gateway/attachment.ts
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -38,6 +38,8 @@
 const maxViewAgeMs = 1200;
 /** A host that failed is tried last for this long, in milliseconds. */
 const avoidMs = 3000;
+/** How long a host is kept before a nearer one is tried, in milliseconds. */
+const settleMs = 1500;
 /** Shortest time between two tries, in milliseconds. */
 const retryMs = 250;
 
@@ -62,9 +64,21 @@
         return [...contacts, ...seeds.filter(address => !known.has(address)).map(address => ({ address }))];
     };
 
+    const isAvoided = (contact: StateContact, now: number): boolean => (avoidUntil.get(contact.address) ?? -Infinity) > now;
+
+    /** Bytes between availability zones and regions are billed, so a nearer host is worth a move. */
+    const nearer = (now: number): string | undefined => {
+        const held = contacts.find(contact => contact.address === current);
+        if (held === undefined || now - triedAt < settleMs) {
+            return undefined;
+        }
+        return contacts.filter(contact => distance(contact) < distance(held) && !isAvoided(contact, now))
+            .sort((a, b) => distance(a) - distance(b))[0]?.address;
+    };
+
     const best = (now: number): string | undefined => {
         const rank = (contact: StateContact): number =>
-            ((avoidUntil.get(contact.address) ?? -Infinity) > now ? 10 : 0) + distance(contact) + cfg.random.next() / 2;
+            (isAvoided(contact, now) ? 10 : 0) + distance(contact) + cfg.random.next() / 2;
         return candidates().filter(contact => contact.address !== current)
             .map(contact => ({ address: contact.address, rank: rank(contact) }))
             .sort((a, b) => a.rank - b.rank)[0]?.address;
@@ -90,6 +104,12 @@
         },
         next: now => {
             const isFresh = now - confirmedAt <= maxViewAgeMs;
+            const move = current !== undefined && isFresh ? nearer(now) : undefined;
+            if (move !== undefined) {
+                triedAt = now;
+                current = move;
+                return move;
+            }
             if ((current !== undefined && isFresh) || now - triedAt < (current === undefined ? retryMs : maxViewAgeMs)) {
                 return undefined;
             }
--- a/packages/core/src/test/attachment_test.ts
+++ b/packages/core/src/test/attachment_test.ts
@@ -60,6 +60,21 @@
         expect(tried.slice(0, 3)).to.deep.equal(["near:1", "region:1", "far:1"]);
     });
 
+    it("moves to the nearest state host once it knows where they are, and no further", () => {
+        const attachment = create();
+        attachment.next(0);
+        attachment.setContacts([...contacts, { address: "seed:1", availabilityZone: "b1", region: "b" }]);
+        const moves: string[] = [];
+        for (let now = 100; now < 8000; now += 100) {
+            attachment.heard(attachment.current() ?? "", 50, now);
+            const next = attachment.next(now);
+            if (next !== undefined) {
+                moves.push(next);
+            }
+        }
+        expect(moves).to.deep.equal(["near:1"]);
+    });
+
     it("takes new seeds when all it knows is gone", () => {
         const attachment = create(["old:1"]);
         expect(attachment.next(0)).to.equal("old:1");
