Pass failures on at once, elect soon after a start, and brief hosts where they stay

Change: a report with a failure is sent and passed on at once; the first election after a start begins within half an election's time, since pre-votes protect a leader; a host that will move is only told where to.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -107,7 +107,7 @@
         port: Number(hostId.slice(hostId.lastIndexOf(":") + 1)),
     };
     const peers = createPeerLinks({ hostId, localAddress: host, clock });
-    const entries = createEntryLinks();
+    const entries = createEntryLinks(options.availabilityZone);
     const keeper = createKeeper({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerNames = new Map<Link, string>();
     const unconfirmed = new Set<Link>();
@@ -157,7 +157,7 @@
         }
         const hosts = [...fleet.hosts()];
         const entryHosts = hosts.filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Gone).length;
-        entries.brief({ fleet, config: configOf(fleet), contacts: contactsOf(fleet), entryHosts });
+        entries.brief({ fleet, config: configOf(fleet), contacts: contactsOf(fleet), entryHosts }, clock());
     };
 
     const withinTime = (reply: Promise<StateReply>): Promise<ControlOutcome> =>
@@ -215,7 +215,7 @@
     };
 
     const openEntry = (link: Link, hello: EntryHello): void => {
-        noteEntry(entries.open(link, hello));
+        noteEntry(entries.open(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
         brief();
         tellView();
@@ -233,7 +233,12 @@
         },
         [LinkMessageKind.EntryHello]: openEntry,
         [LinkMessageKind.Phase]: (link, { phase }) => noteEntry(entries.setPhase(link, phase)),
-        [LinkMessageKind.Report]: (link, { r }) => entries.takeReport(link, r),
+        [LinkMessageKind.Report]: (link, { r }) => {
+            entries.takeReport(link, r);
+            if (r.some(([, , failures]) => failures > 0)) {
+                passReports();
+            }
+        },
         [LinkMessageKind.Outcomes]: (_link, { r }) => entries.passOutcomes(r),
     };
 
@@ -280,6 +285,7 @@
         setInterval(passReports, passReportsMs),
         setInterval(tellView, tellViewMs),
         setInterval(() => {
+            brief();
             dropSilentEntries();
             void compare();
         }, compareMs),
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -22,14 +22,14 @@
 
 /** The entry hosts that listen. */
 export interface EntryLinks {
-    open(link: Link, hello: EntryHello): HostAnnouncement;
+    open(link: Link, hello: EntryHello, now: number): HostAnnouncement;
     /** Names the host of a link; `undefined` for a link that has not said hello. */
     hostOf(link: Link): HostAnnouncement | undefined;
     /** Notes a new phase; returns what the host says of itself now. */
     setPhase(link: Link, phase: HostAnnouncement["state"]): HostAnnouncement | undefined;
     close(link: Link): HostAnnouncement | undefined;
     /** Sends each host what it lacks. */
-    brief(briefing: Briefing): void;
+    brief(briefing: Briefing, now: number): void;
     /** Tells every host how old the view may be. */
     tellView(ageMs: number): void;
     takeReport(link: Link, rows: readonly ReportRow[]): void;
@@ -42,6 +42,8 @@
 
 interface Listener {
     key: number;
+    /** When it began to listen, in milliseconds. */
+    since: number;
     host: HostAnnouncement;
     configNumber: number;
     serversRevision: number;
@@ -52,8 +54,11 @@
 /** Configurations that were in force lately are kept, so that a host that comes back needs only the difference. */
 const maxKeptConfigs = 8;
 
-/** Creates an empty book. */
-export const createEntryLinks = (): EntryLinks => {
+/** How long a host is given to move to a nearer state host, in milliseconds. */
+const moveMs = 1000;
+
+/** Creates an empty book of a state host in `availabilityZone`. */
+export const createEntryLinks = (availabilityZone: string): EntryLinks => {
     const listeners = new Map<Link, Listener>();
     const kept = new Map<number, GatewayConfig>();
     let nextKey = 1;
@@ -72,13 +77,25 @@
             : { k: LinkMessageKind.ConfigDelta, delta: diffConfig(base, config) };
     };
 
-    const brief = ({ fleet, config, contacts, entryHosts }: Briefing): void => {
+    /** A host that will move to a state host of its own availability zone is told nothing more until then. */
+    const willMove = (listener: Listener, contacts: readonly StateContact[], now: number): boolean =>
+        now - listener.since < moveMs && listener.host.availabilityZone !== availabilityZone
+        && contacts.some(contact => contact.availabilityZone === listener.host.availabilityZone);
+
+    const brief = ({ fleet, config, contacts, entryHosts }: Briefing, now: number): void => {
         if (config !== undefined) {
             keep(config);
         }
         const contactsText = JSON.stringify([contacts, entryHosts]);
         const revision = fleet.serversRevision();
         for (const [link, listener] of listeners) {
+            if (contactsText !== listener.contactsText) {
+                link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
+                listener.contactsText = contactsText;
+            }
+            if (willMove(listener, contacts, now)) {
+                continue;
+            }
             if (config !== undefined && config.number > listener.configNumber) {
                 link.send(configMessage(listener, config));
                 listener.configNumber = config.number;
@@ -88,10 +105,6 @@
                 link.send({ k: LinkMessageKind.Servers, rows, revision } satisfies LinkMessage);
                 listener.serversRevision = revision;
             }
-            if (contactsText !== listener.contactsText) {
-                link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
-                listener.contactsText = contactsText;
-            }
         }
     };
 
@@ -123,11 +136,12 @@
     };
 
     return {
-        open: (link, hello) => {
+        open: (link, hello, now) => {
             const { hostId, address, availabilityZone, region, startedAt, phase, configNumber, serversRevision } = hello;
             const host = { hostId, role: HostRole.Entry, address, availabilityZone, region, startedAt, state: phase };
             listeners.set(link, {
                 key: nextKey,
+                since: now,
                 host,
                 configNumber,
                 serversRevision,
--- a/packages/core/src/lib/consensus/election.ts
+++ b/packages/core/src/lib/consensus/election.ts
@@ -25,6 +25,9 @@
     deposed: () => void;
 }
 
+/** The first election after a start begins within this share to half of an election's time. */
+const firstTryShare = 0.1;
+
 /** Creates the elections of one host. */
 export const createElection = (ctx: NodeContext, hooks: ElectionHooks): Election => {
     let granted = new Map<string, number>();
@@ -102,7 +105,8 @@
 
     const tick = (): void => {
         if (deadline === undefined) {
-            postpone();
+            // After a start nobody is known to lead. The pre-vote keeps a leader that does, so an early try costs nothing.
+            deadline = ctx.now + ctx.timing.electionMs * (ctx.random.next() + firstTryShare) / 2;
             return;
         }
         if (ctx.now < deadline || ctx.role === StateRole.Leader) {
--- a/packages/core/src/lib/gateway/attachment.ts
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -50,6 +50,7 @@
     let current: string | undefined;
     let confirmedAt = -Infinity;
     let triedAt = -Infinity;
+    let isSettled = false;
     const avoidUntil = new Map<string, number>();
 
     const distance = (contact: StateContact): number => {
@@ -69,7 +70,8 @@
     /** Bytes between availability zones and regions are billed, so a nearer host is worth a move. */
     const nearer = (now: number): string | undefined => {
         const held = contacts.find(contact => contact.address === current);
-        if (held === undefined || now - triedAt < settleMs) {
+        // A seed that the fleet has not named yet is left at once for a host of the own availability zone.
+        if (held === undefined || now - triedAt < (isSettled ? settleMs : 0)) {
             return undefined;
         }
         return contacts.filter(contact => distance(contact) < distance(held) && !isAvoided(contact, now))
@@ -106,6 +108,7 @@
             const isFresh = now - confirmedAt <= maxViewAgeMs;
             const move = current !== undefined && isFresh ? nearer(now) : undefined;
             if (move !== undefined) {
+                isSettled = true;
                 triedAt = now;
                 current = move;
                 return move;
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -105,6 +105,7 @@
                 localAddress: options.listenHost,
                 clock,
                 log,
+                serverFailed: () => link.reportNow(),
                 viewAgeMs: () => link.ageMs(),
             }),
         clock,
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -53,6 +53,8 @@
     localAddress?: string;
     clock: () => number;
     log: EventLog;
+    /** A server has failed a request. */
+    serverFailed: () => void;
     /** Age of what this host knows of the fleet, in milliseconds. */
     viewAgeMs: () => number;
 }
@@ -152,6 +154,9 @@
         const { server, failing, load, signAgeMs } = send.choice;
         const elapsedMs = now - send.startedAt;
         pool.ended(server.number, signs[result.outcome], now);
+        if (signs[result.outcome] === Sign.Failure) {
+            ports.serverFailed();
+        }
         if (result.outcome === SendOutcome.Answered) {
             ports.latencies.note(route.name, elapsedMs);
             return;
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -30,6 +30,8 @@
     ageMs(): number;
     setSeeds(seeds: readonly string[]): void;
     tellPhase(phase: HostPhase): void;
+    /** Reports at once what has been seen, so that other hosts avoid a server that has just failed. */
+    reportNow(): void;
     close(): void;
 }
 
@@ -154,6 +156,7 @@
     return {
         ageMs: () => attachment.ageMs(clock()),
         setSeeds: seeds => attachment.setSeeds(seeds),
+        reportNow: report,
         tellPhase: phase => send({ k: LinkMessageKind.Phase, phase }),
         close: () => {
             for (const timer of timers) {
