Recover faster after all processes were killed

Change: a host without any view asks the next state host after 350 ms; a request that comes within 1.5 s of the start waits for the first configuration, at most for 0.3 of its caller's time; retry windows cover their last slice, which the unused share of the bound had covered, so that share shrinks; a refusal while the service has free slots asks the caller back soon.

--- a/packages/core/src/lib/gateway/attachment.ts
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -40,8 +40,10 @@
 const avoidMs = 3000;
 /** How long a host is kept before a nearer one is tried, in milliseconds. */
 const settleMs = 1500;
+/** How long the first view is waited for, in milliseconds: a state host that leads or follows tells it at once. */
+const firstViewMs = 350;
 /** Shortest time between two tries, in milliseconds. */
-const retryMs = 250;
+const retryMs = 150;
 
 /** Creates the choice of one entry host. */
 export const createAttachment = (cfg: AttachmentCfg): Attachment => {
@@ -86,6 +88,14 @@
             .sort((a, b) => a.rank - b.rank)[0]?.address;
     };
 
+    /** A host without any view has nothing to lose by asking the next one soon. */
+    const patienceMs = (): number => {
+        if (current === undefined) {
+            return retryMs;
+        }
+        return confirmedAt === -Infinity ? firstViewMs : maxViewAgeMs;
+    };
+
     return {
         setContacts: list => {
             contacts = list;
@@ -113,7 +123,7 @@
                 current = move;
                 return move;
             }
-            if ((current !== undefined && isFresh) || now - triedAt < (current === undefined ? retryMs : maxViewAgeMs)) {
+            if ((current !== undefined && isFresh) || now - triedAt < patienceMs()) {
                 return undefined;
             }
             if (current !== undefined) {
--- a/packages/core/src/lib/gateway/retry-allowance.ts
+++ b/packages/core/src/lib/gateway/retry-allowance.ts
@@ -20,9 +20,10 @@
     setHosts(count: number): void;
 }
 
-const slices = 20;
+/** A repeat counts until its whole slice is past, so one slice more than the window is kept. */
+const slices = 21;
 /** Part of the bound that is used; the rest covers hosts that start and clocks that differ. */
-const usedShare = 0.85;
+const usedShare = 0.93;
 
 interface Window {
     /** Number of the newest slice. */
@@ -36,7 +37,7 @@
 /** Creates the allowance of one host, which knows `hosts` entry hosts at first. */
 export const createRetryAllowance = (bound: RetryBound, hosts: number): RetryAllowance => {
     const windows = new Map<string, Window>();
-    const sliceMs = bound.windowMs / slices;
+    const sliceMs = bound.windowMs / (slices - 1);
     let hostCount = Math.max(1, hosts);
 
     const windowOf = (service: string, now: number): Window => {
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -52,6 +52,8 @@
     update(records: readonly FleetServer[]): void;
     /** The best server for a request of `service`, without those in `excluded`; `undefined` when there is none. */
     choose(service: string, repeatability: Repeatability, excluded: ReadonlySet<number>, now: number): Choice | undefined;
+    /** Whether the servers of `service` have free slots, as far as known. */
+    hasFreeSlots(service: string): boolean;
     began(number: number): void;
     /** A request is no longer under way; `sign` is what its outcome says of the server. */
     ended(number: number, sign: Sign | undefined, now: number): void;
@@ -205,6 +207,16 @@
         };
     };
 
+    const hasFreeSlots = (service: string): boolean => {
+        let free = 0;
+        for (const member of byService.get(service) ?? []) {
+            if (member.record.state === ServingState.Ready) {
+                free += member.record.slots - member.own - member.othersTotal;
+            }
+        }
+        return free > 0;
+    };
+
     const learn = (member: Member, sign: Sign, now: number): void => {
         member.belief = updateBelief(member.belief, sign, now);
         member.signAt = now;
@@ -213,6 +225,7 @@
     return {
         update,
         choose,
+        hasFreeSlots,
         began: number => {
             const member = members.get(number);
             if (member !== undefined) {
--- a/packages/core/src/test/attachment_test.ts
+++ b/packages/core/src/test/attachment_test.ts
@@ -35,6 +35,7 @@
             const attachment = create([]);
             attachment.setContacts(contacts);
             expect(attachment.next(0)).to.equal("near:1");
+            attachment.heard("near:1", 0, 0);
             let movedAt: number | undefined;
             for (let now = 100; now < 3000 && movedAt === undefined; now += 100) {
                 act(attachment, now);
@@ -48,11 +49,23 @@
         });
     }
 
+    it("does not wait for a view from a state host that has none, as after it lost its disk", () => {
+        const attachment = create([]);
+        attachment.setContacts(contacts);
+        attachment.next(0);
+        attachment.heard("near:1", Infinity, 100);
+        let movedAt = Infinity;
+        for (let now = 100; now < 2000 && movedAt === Infinity; now += 50) {
+            movedAt = attachment.next(now) === undefined ? Infinity : now;
+        }
+        expect(movedAt).to.be.at.most(400);
+    });
+
     it("tries the next one soon when a connection fails, and comes back to no failed one at once", () => {
         const attachment = create([]);
         attachment.setContacts(contacts);
         const tried: (string | undefined)[] = [];
-        for (let now = 0; now < 1000; now += 250) {
+        for (let now = 0; now < 1000; now += 150) {
             const next = attachment.next(now);
             tried.push(next);
             attachment.lost(next ?? "", now);
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -15,13 +15,15 @@
     | { kind: "routed"; route: GatewayRoute; configNumber: number; }
     /** No route takes it, by a configuration that is surely the newest. */
     | { kind: "unrouted"; configNumber: number; }
-    /** This host can't be sure which configuration is the newest. */
-    | { kind: "unsure"; retryAfterMs: number; };
+    /** This host can't be sure which configuration is the newest; it may know within `waitMs`. */
+    | { kind: "unsure"; retryAfterMs: number; waitMs: number; };
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
     names: ExchangeHeaders;
     route: (hostHeader: string, target: string) => Routing;
+    /** Resolves when this host knows more of the configurations, and after `waitMs` at the latest. */
+    nextConfig: (waitMs: number) => Promise<void>;
     run: (req: CallerRequest) => RequestRun;
     clock: () => number;
     log: EventLog;
@@ -52,6 +54,8 @@
 /** A request without a deadline of its caller waits as long as its route allows. */
 const noDeadlineMs = Infinity;
 const msPerSecond = 1000;
+/** The part of a caller's time that a request may wait for the first configuration. */
+const waitShare = 0.3;
 /** Served requests that are logged in a second; beyond it they are only counted. */
 const servedLinesPerSecond = 20;
 
@@ -206,7 +210,15 @@
         }
         const hostHeader = valueOf(req.rawHeaders, "host") ?? "";
         const target = req.url ?? "/";
-        const routing = options.route(hostHeader, target);
+        const deadlineMs = deadlineOf(req);
+        let routing = options.route(hostHeader, target);
+        if (routing.kind === "unsure" && routing.waitMs > 0) {
+            await options.nextConfig(Math.min(routing.waitMs, deadlineMs * waitShare));
+            routing = options.route(hostHeader, target);
+        }
+        if (res.destroyed) {
+            return;
+        }
         const requestId = valueOf(req.rawHeaders, names.requestId);
         if (routing.kind === "unrouted") {
             log.log("requestUnrouted", { requestId, hostHeader, target, configNumber: routing.configNumber });
@@ -233,7 +245,7 @@
             headers: length ? [...kept, "Content-Length", String(body.length)] : kept,
             body,
             arrivedAt,
-            giveUpAt: arrivedAt + Math.min(route.timeoutMs, deadlineOf(req)),
+            giveUpAt: arrivedAt + Math.min(route.timeoutMs, deadlineMs),
         });
     };
 
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -61,6 +61,8 @@
 const stopCheckMs = 50;
 /** When callers should come back while the newest configuration is not known, in milliseconds. */
 const unsureRetryMs = 400;
+/** After a start the first configuration is waited for this long, in milliseconds. */
+const firstConfigMs = 1500;
 /** Entry hosts that share the retry reserve until the state hosts tell their number. */
 const firstHostCount = 50;
 
@@ -83,18 +85,30 @@
 
     const route = (hostHeader: string, target: string): Routing => {
         if (config === undefined) {
-            return { kind: "unsure", retryAfterMs: unsureRetryMs };
+            // State hosts that were killed with this one serve again within a second.
+            const waitMs = Math.max(0, startedClock + firstConfigMs - clock());
+            return { kind: "unsure", retryAfterMs: unsureRetryMs, waitMs };
         }
         const found = routes.find(hostHeader, target);
         if (found !== undefined) {
             return { kind: "routed", route: found, configNumber: config.number };
         }
-        return isSure() ? { kind: "unrouted", configNumber: config.number } : { kind: "unsure", retryAfterMs: unsureRetryMs };
+        return isSure()
+            ? { kind: "unrouted", configNumber: config.number }
+            : { kind: "unsure", retryAfterMs: unsureRetryMs, waitMs: 0 };
     };
 
+    let waitingForConfig: (() => void)[] = [];
+    const nextConfig = (waitMs: number): Promise<void> =>
+        new Promise(resolve => {
+            waitingForConfig.push(resolve);
+            setTimeout(resolve, waitMs);
+        });
+
     const callers = createCallerServer({
         names: options.names,
         route,
+        nextConfig,
         run: req =>
             runRequest(req, {
                 pool,
@@ -120,6 +134,9 @@
         config = next;
         routes = createRouteIndex(next.routes);
         callers.setLimits(next.limits);
+        const waiting = waitingForConfig;
+        waitingForConfig = [];
+        waiting.forEach(resolve => resolve());
         log.log("configurationInForce", { number: next.number, routes: next.routes.length, viewAgeMs: Math.round(link.ageMs()) });
     };
 
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -70,8 +70,11 @@
 const connectTimeoutMs = 450;
 /** The request's own time limit ends it; a send's limit lies behind it, in milliseconds, and is only a safeguard. */
 const serverGraceMs = 100;
-/** When a caller should come back if all servers were full: about one request's time, spread so that callers do not meet. */
-const retryAfterMs = { least: 150, spread: 250 } as const;
+/**
+ * When a caller should come back: soon while the service has free slots, since what was declined once may be taken
+ * next; after about one request's time when it is full. Spread, so that callers do not meet.
+ */
+const retryAfterMs = { free: { least: 40, spread: 80 }, full: { least: 150, spread: 250 } } as const;
 
 const signs: Record<SendOutcome, Sign | undefined> = {
     [SendOutcome.Answered]: Sign.Success,
@@ -127,12 +130,10 @@
         settle(concluded);
     };
 
-    const refuse = (reason: string): void =>
-        conclude({
-            kind: ReplyKind.Refused,
-            retryAfterMs: retryAfterMs.least + retryAfterMs.spread * ports.random.next(),
-            reason,
-        });
+    const refuse = (reason: string): void => {
+        const { least, spread } = pool.hasFreeSlots(service) ? retryAfterMs.free : retryAfterMs.full;
+        conclude({ kind: ReplyKind.Refused, retryAfterMs: least + spread * ports.random.next(), reason });
+    };
 
     const fail = (reason: string): void =>
         conclude(
