Spread load over sound servers by what is known of it, and try idle ones in trouble

Ruled out: signs of stuck requests (leaving them out made it worse), beliefs that differ by little alone.

--- a/packages/core/src/lib/gateway/server-belief.ts
+++ b/packages/core/src/lib/gateway/server-belief.ts
@@ -1,14 +1,18 @@
 /** How likely it is that a backend server fails the next request, from the outcomes of few requests. */
 
-/**
- * Share of servers that fail at a time, as seen on the users' platform (docs/design/platform.md). What is believed of a
- * server that is not tried drifts to it.
- */
-const priorOdds = 0.15;
-/** Time constants of the drift in milliseconds: a failing server is given time to recover, a sound one may fall ill sooner. */
-const forgetFailureMs = 5000;
-const forgetSuccessMs = 6000;
-/** How often a failing and a sound server yield each outcome. */
+/** How beliefs are formed. The defaults come from `npm run measure -- gateway` with the sites' loads. */
+export interface BeliefCfg {
+    /** Share of servers that fail at a time; what is believed of a server that is not tried drifts to it. */
+    prior: number;
+    /** Time constants of the drift in milliseconds: of a server that failed, and of one that served. */
+    forgetFailureMs: number;
+    forgetSuccessMs: number;
+}
+
+/** The beliefs that are used. */
+export const defaultBeliefCfg: BeliefCfg = { prior: 0.15, forgetFailureMs: 3500, forgetSuccessMs: 6000 };
+
+/** How often a failing and a sound server yield each sign. */
 const likelihoods = {
     success: { failing: 0.3, sound: 0.985 },
     failure: { failing: 0.7, sound: 0.015 },
@@ -31,17 +35,17 @@
 }
 
 /** The belief about a server that nothing is known of. */
-export const unknownBelief = (now: number): Belief => ({ failing: priorOdds, at: now });
+export const unknownBelief = (now: number, cfg: BeliefCfg): Belief => ({ failing: cfg.prior, at: now });
 
 /** The belief after time has passed without a sign. */
-export const beliefAt = (belief: Belief, now: number): number => {
-    const timeMs = belief.failing > priorOdds ? forgetFailureMs : forgetSuccessMs;
-    return priorOdds + (belief.failing - priorOdds) * Math.exp(-Math.max(0, now - belief.at) / timeMs);
+export const beliefAt = (belief: Belief, now: number, cfg: BeliefCfg): number => {
+    const timeMs = belief.failing > cfg.prior ? cfg.forgetFailureMs : cfg.forgetSuccessMs;
+    return cfg.prior + (belief.failing - cfg.prior) * Math.exp(-Math.max(0, now - belief.at) / timeMs);
 };
 
 /** The belief after one sign. */
-export const updateBelief = (belief: Belief, sign: Sign, now: number): Belief => {
-    const failing = beliefAt(belief, now);
+export const updateBelief = (belief: Belief, sign: Sign, now: number, cfg: BeliefCfg): Belief => {
+    const failing = beliefAt(belief, now, cfg);
     const { failing: ifFailing, sound: ifSound } = likelihoods[sign];
     const weight = failing * ifFailing;
     return { failing: weight / (weight + (1 - failing) * ifSound), at: Math.max(now, belief.at) };
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -8,9 +8,12 @@
 import { ServingState } from "../fleet/facts.js";
 import type { FleetServer } from "../fleet/facts.js";
 import type { Random } from "../random.js";
+import { defaultChoiceWeights } from "./choice-weights.js";
+import type { ChoiceWeights } from "./choice-weights.js";
 import { Repeatability } from "./gateway-config.js";
 import { beliefAt, Sign, unknownBelief, updateBelief } from "./server-belief.js";
 import type { Belief } from "./server-belief.js";
+import { createServiceTrouble } from "./service-trouble.js";
 
 /** Where this host stands. */
 export interface PoolPlace {
@@ -44,6 +47,7 @@
     random: Random;
     /** Wall-clock time in milliseconds since 1970, for slow starts. */
     wallClock: () => number;
+    weights?: ChoiceWeights;
 }
 
 /** The servers as one entry host sees them. */
@@ -54,15 +58,17 @@
     choose(service: string, repeatability: Repeatability, excluded: ReadonlySet<number>, now: number): Choice | undefined;
     /** Whether the servers of `service` have free slots, as far as known. */
     hasFreeSlots(service: string): boolean;
-    began(number: number): void;
+    began(number: number, now: number): void;
     /** A request is no longer under way; `sign` is what its outcome says of the server. */
     ended(number: number, sign: Sign | undefined, now: number): void;
     /** A request under way waits far longer than usual. */
     noteStuck(number: number, now: number): void;
     /** Another server answered at the address. */
     noteReplaced(number: number): void;
-    /** Takes what another host reports. */
+    /** Takes what another host of the availability zone reports. */
     takeReport(hostKey: string, report: ServerReport, now: number): void;
+    /** Takes failures that hosts of other availability zones report; of their successes and load nothing is known. */
+    takeFailures(report: ServerReport, now: number): void;
     /** Drops the load that a host has reported. */
     forgetHost(hostKey: string): void;
     /** Drops all load that hosts have reported. */
@@ -72,26 +78,22 @@
     size(): number;
 }
 
-/** Expected loss by distance: bytes between availability zones and regions are billed. */
-const distanceCost = { zone: 0, region: 0.05, elsewhere: 0.09 } as const;
-/** A failed request that may be repeated costs time and one repeat. */
-const failureCost: Record<Repeatability, number> = { [Repeatability.Repeatable]: 0.4, [Repeatability.AtMostOnce]: 1 };
-/** Waiting for one whole turn of a slot. */
-const waitCost = 0.25;
-/** A slot that is the last one free: some servers slow down when nearly full. */
-const nearlyFullCost = 0.03;
-const coldCost = 0.12;
-/** A server whose announcements have stopped: cut off, or crashed. */
-const silentCost = 0.3;
-/** Requests beyond the slots that a server queues before it declines; more are not sent there. */
-const queueBeyondSlots = 9;
-/** Spreads equal choices of many hosts. */
-const jitter = 0.01;
+/** A server without any request for this long is idle, in milliseconds. */
+const idleMs = 1600;
+/** Servers that fail by themselves are given this long to recover before they are tried, in milliseconds. */
+const recoveryMs = 2500;
+/** The usual load is a mean over this time, in milliseconds. */
+const usualLoadMs = 2000;
+/** Share of slots taken to be in use where the own availability zone has no server. */
+const unknownLoadShare = 0.4;
 
 interface Member {
     record: FleetServer;
     belief: Belief;
     signAt: number | undefined;
+    /** When a request was last known to be under way there, and when one was last known to fail. */
+    usedAt: number;
+    failedAt: number;
     own: number;
     /** Requests of other hosts under way, by host. */
     others: Map<string, number>;
@@ -108,6 +110,8 @@
     const byId = new Map<string, number>();
     const byService = new Map<string, Set<Member>>();
     const { availabilityZone, regions } = cfg.place;
+    const weights = cfg.weights ?? defaultChoiceWeights;
+    const trouble = createServiceTrouble();
 
     const remove = (member: Member): void => {
         members.delete(member.record.number);
@@ -117,8 +121,10 @@
     const add = (record: FleetServer): void => {
         const member: Member = {
             record,
-            belief: unknownBelief(0),
+            belief: unknownBelief(0, weights.belief),
             signAt: undefined,
+            usedAt: -Infinity,
+            failedAt: -Infinity,
             own: 0,
             others: new Map(),
             othersTotal: 0,
@@ -158,28 +164,64 @@
 
     const distanceOf = (zone: string): number => {
         if (zone === availabilityZone) {
-            return distanceCost.zone;
+            return weights.zone;
         }
-        return regions[zone] === regions[availabilityZone] ? distanceCost.region : distanceCost.elsewhere;
+        return regions[zone] === regions[availabilityZone] ? weights.region : weights.elsewhere;
     };
 
-    const costOf = (member: Member, repeatability: Repeatability, now: number): number => {
+    /** Share of the slots of the own availability zone that is usually taken, by service. */
+    const usualLoad = new Map<string, { share: number; at: number; }>();
+
+    const noteUsualLoad = (service: string, now: number): number => {
+        let taken = 0;
+        let slots = 0;
+        for (const member of byService.get(service) ?? []) {
+            if (member.record.availabilityZone === availabilityZone && member.record.state === ServingState.Ready) {
+                taken += member.own + member.othersTotal;
+                slots += member.record.slots;
+            }
+        }
+        const share = slots === 0 ? unknownLoadShare : Math.min(1, taken / slots);
+        const usual = usualLoad.get(service) ?? { share, at: now };
+        const kept = Math.exp(-(now - usual.at) / usualLoadMs);
+        usual.share = usual.share * kept + share * (1 - kept);
+        usual.at = now;
+        usualLoad.set(service, usual);
+        return usual.share;
+    };
+
+    /** Only the load of the own availability zone is reported; elsewhere it is taken to be as usual here. */
+    const loadOf = (member: Member, usualShare: number): number => {
+        const known = member.own + member.othersTotal;
+        return member.record.availabilityZone === availabilityZone ? known : known + usualShare * member.record.slots;
+    };
+
+    const costOf = (member: Member, repeatability: Repeatability, usualShare: number, now: number): number => {
         const { record } = member;
-        const load = member.own + member.othersTotal;
+        const load = loadOf(member, usualShare);
         const waiting = Math.max(0, load + 1 - record.slots);
         const isCold = cfg.wallClock() < record.warmAt;
-        return failureCost[repeatability] * beliefAt(member.belief, now)
+        return weights.failure[repeatability] * Math.max(weights.soundEnough, beliefAt(member.belief, now, weights.belief))
+            + weights.load * load / record.slots
             + distanceOf(record.availabilityZone)
-            + waitCost * waiting / record.slots
-            + (load + 1 === record.slots ? nearlyFullCost : 0)
-            + (isCold ? coldCost : 0)
-            + (record.silent ? silentCost : 0)
-            + jitter * cfg.random.next();
+            + weights.wait * waiting / record.slots
+            + (load + 1 > record.slots - 1 && waiting === 0 ? weights.nearlyFull : 0)
+            + (isCold ? weights.cold : 0)
+            + (record.silent ? weights.silent : 0)
+            + weights.jitter * cfg.random.next();
     };
 
+    /**
+     * While a service fails many requests, few servers carry it and those left out may have recovered, so each that has
+     * been idle for a while is tried.
+     */
+    const deservesTrial = (member: Member, now: number): boolean =>
+        member.record.availabilityZone === availabilityZone && !member.record.silent
+        && now - member.usedAt > idleMs && now - member.failedAt > recoveryMs;
+
     const isUsable = (member: Member, excluded: ReadonlySet<number>): boolean =>
         member.record.state === ServingState.Ready && !member.replaced && !excluded.has(member.record.number)
-        && member.own + member.othersTotal < member.record.slots + queueBeyondSlots;
+        && member.own + member.othersTotal < member.record.slots + weights.queueBeyondSlots;
 
     const choose = (
         service: string,
@@ -187,13 +229,16 @@
         excluded: ReadonlySet<number>,
         now: number,
     ): Choice | undefined => {
+        const usualShare = noteUsualLoad(service, now);
+        const isTroubled = trouble.isTroubled(service, now);
         let best: Member | undefined;
         let bestCost = Infinity;
         for (const member of byService.get(service) ?? []) {
             if (!isUsable(member, excluded)) {
                 continue;
             }
-            const cost = costOf(member, repeatability, now);
+            const isTrial = isTroubled && deservesTrial(member, now);
+            const cost = costOf(member, repeatability, usualShare, now) - (isTrial ? weights.trial : 0);
             if (cost < bestCost) {
                 best = member;
                 bestCost = cost;
@@ -201,7 +246,7 @@
         }
         return best === undefined ? undefined : {
             server: best.record,
-            failing: beliefAt(best.belief, now),
+            failing: beliefAt(best.belief, now, weights.belief),
             load: best.own + best.othersTotal,
             signAgeMs: best.signAt === undefined ? undefined : now - best.signAt,
         };
@@ -218,18 +263,25 @@
     };
 
     const learn = (member: Member, sign: Sign, now: number): void => {
-        member.belief = updateBelief(member.belief, sign, now);
+        member.belief = updateBelief(member.belief, sign, now, weights.belief);
         member.signAt = now;
+        if (sign === Sign.Failure) {
+            member.failedAt = now;
+        }
+        if (sign !== Sign.Stuck) {
+            member.usedAt = now;
+        }
     };
 
     return {
         update,
         choose,
         hasFreeSlots,
-        began: number => {
+        began: (number, now) => {
             const member = members.get(number);
             if (member !== undefined) {
                 member.own += 1;
+                member.usedAt = now;
                 member.changed = true;
             }
         },
@@ -242,6 +294,7 @@
             member.changed = true;
             if (sign !== undefined) {
                 learn(member, sign, now);
+                trouble.note(member.record.service, sign, now);
                 member.successes += sign === Sign.Success ? 1 : 0;
                 member.failures += sign === Sign.Failure ? 1 : 0;
             }
@@ -265,6 +318,9 @@
             if (member === undefined) {
                 return;
             }
+            if (report.inFlight > 0) {
+                member.usedAt = now;
+            }
             member.othersTotal += report.inFlight - (member.others.get(hostKey) ?? 0);
             if (report.inFlight === 0) {
                 member.others.delete(hostKey);
@@ -272,11 +328,19 @@
             else {
                 member.others.set(hostKey, report.inFlight);
             }
-            for (let count = 0; count < report.successes; count += 1) {
-                learn(member, Sign.Success, now);
+            const signs = [
+                ...Array<Sign>(report.successes).fill(Sign.Success),
+                ...Array<Sign>(report.failures).fill(Sign.Failure),
+            ];
+            for (const sign of signs) {
+                learn(member, sign, now);
+                trouble.note(member.record.service, sign, now);
             }
-            for (let count = 0; count < report.failures; count += 1) {
-                learn(member, Sign.Failure, now);
+        },
+        takeFailures: (report, now) => {
+            const member = members.get(report.number);
+            if (member !== undefined) {
+                Array<Sign>(report.failures).fill(Sign.Failure).forEach(sign => learn(member, sign, now));
             }
         },
         forgetHost: hostKey => {
--- /dev/null
+++ b/packages/core/src/lib/gateway/service-trouble.ts
@@ -0,0 +1,49 @@
+/** Tells when a service fails so many requests that its idle servers should be tried again soon. */
+import { Sign } from "./server-belief.js";
+
+/** Recent outcomes of the services. */
+export interface ServiceTrouble {
+    note(service: string, sign: Sign, now: number): void;
+    /** Whether a service fails too many of its requests. */
+    isTroubled(service: string, now: number): boolean;
+}
+
+/** Outcomes fade with this time constant, in milliseconds. */
+const fadeMs = 1500;
+/** Share of failures above which idle servers are tried: below the tenth at which operators expect wide use. */
+const troubledShare = 0.085;
+/** With fewer outcomes than this one failure would look like trouble. */
+const leastOutcomes = 6;
+
+interface Tally {
+    failures: number;
+    outcomes: number;
+    at: number;
+}
+
+/** Creates an empty record. */
+export const createServiceTrouble = (): ServiceTrouble => {
+    const tallies = new Map<string, Tally>();
+
+    const faded = (service: string, now: number): Tally => {
+        const tally = tallies.get(service) ?? { failures: 0, outcomes: 0, at: now };
+        const kept = Math.exp(-Math.max(0, now - tally.at) / fadeMs);
+        tally.failures *= kept;
+        tally.outcomes *= kept;
+        tally.at = now;
+        tallies.set(service, tally);
+        return tally;
+    };
+
+    return {
+        note: (service, sign, now) => {
+            const tally = faded(service, now);
+            tally.outcomes += 1;
+            tally.failures += sign === Sign.Success ? 0 : 1;
+        },
+        isTroubled: (service, now) => {
+            const { failures, outcomes } = faded(service, now);
+            return outcomes >= leastOutcomes && failures > troubledShare * outcomes;
+        },
+    };
+};
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -133,9 +133,60 @@
         expect(firstUse(Repeatable)).to.be.below(firstUse(AtMostOnce));
     });
 
+    describe("while a service fails more than a tenth of its requests", () => {
+        const fail = (pool: ServerPool, share: number): void => {
+            for (let count = 0; count < 40; count += 1) {
+                pool.takeReport("h", {
+                    number: 1,
+                    successes: count % 10 >= share * 10 ? 1 : 0,
+                    failures: count % 10 < share * 10 ? 1 : 0,
+                    inFlight: 1,
+                }, 5000);
+            }
+        };
+        const trials: { name: string; share: number; idle?: (pool: ServerPool) => void; isTried: boolean; }[] = [
+            { name: "tries a server that has been idle", share: 0.2, isTried: true },
+            {
+                name: "leaves a server idle that failed just now",
+                share: 0.2,
+                idle: pool => pool.ended(2, Sign.Failure, 4000),
+                isTried: false,
+            },
+            {
+                name: "tries it once it may have recovered",
+                share: 0.2,
+                idle: pool => pool.ended(2, Sign.Failure, 2000),
+                isTried: true,
+            },
+            {
+                name: "does not try one that other hosts use",
+                share: 0.2,
+                idle: pool => pool.takeReport("h", { number: 2, successes: 0, failures: 1, inFlight: 1 }, 4500),
+                isTried: false,
+            },
+        ];
+        for (const { name, share, idle, isTried } of trials) {
+            it(name, () => {
+                const pool = createPool([near, server(2, "a1"), server(3, "a1"), far]);
+                pool.ended(3, Sign.Success, 4900);
+                idle?.(pool);
+                fail(pool, share);
+                const picked = new Set(Array.from({ length: 20 }, () => chosen(pool, 5001)));
+                expect(picked.has(2)).to.equal(isTried);
+            });
+        }
+
+        it("leaves idle servers alone while few requests fail", () => {
+            const pool = createPool([near, server(2, "a1"), server(3, "a1"), far]);
+            pool.ended(2, Sign.Failure, 2000);
+            fail(pool, 0);
+            expect(chosen(pool, 5001)).not.to.equal(2);
+        });
+    });
+
     it("reports each change once", () => {
         const pool = createPool([near]);
-        pool.began(1);
+        pool.began(1, 0);
         expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 0, inFlight: 1 }]);
         pool.ended(1, Sign.Failure, 5);
         expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 1, inFlight: 0 }]);
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -166,7 +166,7 @@
         [LinkMessageKind.Outcomes]: message => {
             const now = clock();
             for (const row of message.r) {
-                pool.takeReport("remote", { ...fromReportRow(row), inFlight: 0 }, now);
+                pool.takeFailures(fromReportRow(row), now);
             }
         },
         [LinkMessageKind.HostLeft]: message => pool.forgetHost(String(message.h)),
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -198,10 +198,7 @@
     };
 
     const watchStuck = (send: Send): void => {
-        const stuckAfterMs = ports.latencies.stuckAfterMs(route.name);
-        if (stuckAfterMs === undefined) {
-            return;
-        }
+        const stuckAfterMs = ports.latencies.stuckAfterMs(route.name, route.latencyObjectiveMs);
         after(stuckAfterMs, () => {
             if (!open.has(send)) {
                 return;
@@ -220,7 +217,7 @@
         const leftMs = Math.max(1, Math.floor(req.giveUpAt - startedAt));
         used.add(server.number);
         plan.began();
-        pool.began(server.number);
+        pool.began(server.number, startedAt);
         const exchange = startExchange({
             address: server.address,
             method: req.method,
--- /dev/null
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -0,0 +1,328 @@
+/** A fleet of entry hosts before failing backend servers, in fake time, driven by the decisions of the product. */
+import {
+    createLatencyBook,
+    createRandom,
+    createRequestPlan,
+    createRetryAllowance,
+    createServerPool,
+    Repeatability,
+    SendOutcome,
+    ServingState,
+    Sign,
+    Step,
+} from "@cassiapick/core";
+import type { ChoiceWeights, FleetServer, LatencyBook, Random, RetryAllowance, ServerPool } from "@cassiapick/core";
+import { createTimeline } from "@cassiapick/proofs";
+import type { Timeline } from "@cassiapick/proofs";
+import type { ModelClass, ModelSite } from "./gateway-sites.js";
+
+/** How entry hosts choose. */
+export interface ModelWay {
+    name: string;
+    weights?: ChoiceWeights;
+    /** Whether hosts of an availability zone tell each other what they see. */
+    shares: boolean;
+    /** Whether the choice is random. */
+    random?: boolean;
+}
+
+/** Outcome of one run. */
+export interface ModelResult {
+    asked: number;
+    served: number;
+    inObjective: number;
+    /** Requests that ran in another availability zone of the region, and in another region. */
+    inRegion: number;
+    elsewhere: number;
+    repeats: number;
+    /** Mean of the worth of answers, in the terms of the users: 1 in time, 0.3 late, 0 otherwise. */
+    credit: number;
+    /** The share served of the class that is served worst. */
+    worstClass: number;
+}
+
+interface Server {
+    record: FleetServer;
+    isFailing: boolean;
+    running: number;
+    queue: (() => void)[];
+}
+
+interface Host {
+    zone: string;
+    pool: ServerPool;
+    allowance: RetryAllowance;
+    latencies: LatencyBook;
+    key: string;
+}
+
+const slots = 3;
+const queueLength = 12;
+const reportMs = 100;
+const zoneDelayMs = 1;
+const regionDelayMs = 3;
+const farDelayMs = 25;
+const runMs = 30_000;
+const lateCredit = 0.3;
+
+/** A positive number with the given mean and deviation over it (log-normal). */
+const drawWork = (random: Random, meanMs: number, spread: number): number => {
+    const variance = Math.log(1 + spread * spread);
+    const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+    return meanMs * Math.exp(Math.sqrt(variance) * normal - variance / 2);
+};
+
+const drawPause = (random: Random, meanMs: number): number => -meanMs * Math.log(1 - random.next());
+
+const createServers = (site: ModelSite): Server[] => {
+    const servers: Server[] = [];
+    for (const [service, count] of Object.entries(site.serversPerZone)) {
+        for (const availabilityZone of Object.keys(site.regions)) {
+            for (let index = 0; index < count; index += 1) {
+                const number = servers.length + 1;
+                const record: FleetServer = {
+                    number,
+                    serverId: `s${number}`,
+                    service,
+                    address: "",
+                    availabilityZone,
+                    slots,
+                    state: ServingState.Ready,
+                    bornAt: 0,
+                    warmAt: 0,
+                    silent: false,
+                    keeper: "",
+                    revision: 1,
+                };
+                servers.push({ record, isFailing: false, running: 0, queue: [] });
+            }
+        }
+    }
+    return servers;
+};
+
+const keepFailing = (server: Server, site: ModelSite, timeline: Timeline, random: Random): void => {
+    const { share, meanMs } = site.failing;
+    const soundMeanMs = meanMs * (1 - share) / share;
+    const turn = (): void => {
+        server.isFailing = !server.isFailing;
+        timeline.after(drawPause(random, server.isFailing ? meanMs : soundMeanMs), turn);
+    };
+    server.isFailing = random.next() >= share;
+    turn();
+};
+
+/** Runs one request on a server; `done` gets the outcome. */
+const serve = (
+    server: Server,
+    cls: ModelClass,
+    site: ModelSite,
+    timeline: Timeline,
+    random: Random,
+    done: (outcome: SendOutcome) => void,
+): void => {
+    if (server.isFailing && random.next() < site.failing.fails) {
+        done(SendOutcome.Broken);
+        return;
+    }
+    const run = (): void => {
+        server.running += 1;
+        timeline.after(drawWork(random, cls.workMs, cls.spread), () => {
+            server.running -= 1;
+            server.queue.shift()?.();
+            done(random.next() < site.errorShare ? SendOutcome.ServerError : SendOutcome.Answered);
+        });
+    };
+    if (server.running < slots) {
+        run();
+    }
+    else if (server.queue.length < queueLength) {
+        server.queue.push(run);
+    }
+    else {
+        done(SendOutcome.Declined);
+    }
+};
+
+/** Runs a site for half a minute of fake time. */
+export const runModelFleet = (site: ModelSite, way: ModelWay, seed: number, load = 1): ModelResult => {
+    const random = createRandom(seed);
+    const timeline = createTimeline();
+    const servers = createServers(site);
+    const zones = Object.keys(site.regions);
+    const hostCount = zones.length * site.entryHostsPerZone;
+    const hosts: Host[] = zones.flatMap(zone =>
+        Array.from({ length: site.entryHostsPerZone }, (_, index) => {
+            const pool = createServerPool({
+                place: { availabilityZone: zone, regions: site.regions },
+                random: createRandom(seed * 1000 + index),
+                wallClock: () => timeline.now(),
+                weights: way.weights,
+            });
+            pool.update(servers.map(server => server.record));
+            const bound = { ratio: 0.2, reserve: site.retryReserve, windowMs: 10_000 };
+            return {
+                zone,
+                pool,
+                allowance: createRetryAllowance(bound, hostCount),
+                latencies: createLatencyBook(),
+                key: `${zone}-${index}`,
+            };
+        })
+    );
+    for (const server of servers) {
+        keepFailing(server, site, timeline, random);
+    }
+    const tallies = new Map(site.classes.map(cls => [cls.name, { asked: 0, served: 0 }]));
+    const result = { asked: 0, served: 0, inObjective: 0, inRegion: 0, elsewhere: 0, repeats: 0, credit: 0 };
+
+    const delayBetween = (from: string, to: string): number => {
+        if (from === to) {
+            return zoneDelayMs;
+        }
+        return site.regions[from] === site.regions[to] ? regionDelayMs : farDelayMs;
+    };
+
+    const report = (host: Host): void => {
+        const reports = host.pool.drainReports();
+        if (!way.shares || reports.length === 0) {
+            return;
+        }
+        const failures = reports.filter(({ failures: count }) => count > 0);
+        for (const other of hosts) {
+            if (other === host) {
+                continue;
+            }
+            const isNear = other.zone === host.zone;
+            const told = isNear ? reports : failures;
+            if (told.length === 0) {
+                continue;
+            }
+            timeline.after(2 * delayBetween(host.zone, other.zone), () => {
+                for (const entry of told) {
+                    if (isNear) {
+                        other.pool.takeReport(host.key, entry, timeline.now());
+                    }
+                    else {
+                        other.pool.takeFailures(entry, timeline.now());
+                    }
+                }
+            });
+        }
+    };
+
+    const request = (host: Host, cls: ModelClass): void => {
+        const startedAt = timeline.now();
+        const giveUpAt = startedAt + cls.timeoutMs;
+        const tally = tallies.get(cls.name)!;
+        tally.asked += 1;
+        result.asked += 1;
+        host.allowance.noteRequest(cls.service, startedAt);
+        const plan = createRequestPlan({
+            repeatability: cls.repeatability,
+            maxServers: cls.maxServers,
+            giveUpAt,
+            takeRepeat: () => {
+                const taken = host.allowance.take(cls.service, timeline.now());
+                result.repeats += taken ? 1 : 0;
+                return taken;
+            },
+        });
+        const used = new Set<number>();
+        let isDone = false;
+        const conclude = (isServed: boolean): void => {
+            if (isDone) {
+                return;
+            }
+            isDone = true;
+            const elapsed = timeline.now() - startedAt;
+            if (isServed && elapsed <= cls.timeoutMs) {
+                const inTime = elapsed <= cls.objectiveMs;
+                tally.served += 1;
+                result.served += 1;
+                result.inObjective += inTime ? 1 : 0;
+                result.credit += inTime ? 1 : lateCredit;
+            }
+        };
+        const choose = (): Server | undefined => {
+            if (way.random === true) {
+                const fitting = servers.filter(server =>
+                    server.record.service === cls.service && !used.has(server.record.number)
+                );
+                return fitting[random.below(fitting.length)];
+            }
+            const choice = host.pool.choose(cls.service, cls.repeatability, used, timeline.now());
+            return choice === undefined ? undefined : servers[choice.server.number - 1];
+        };
+        const send = (server: Server): void => {
+            const { number, availabilityZone } = server.record;
+            const delay = delayBetween(host.zone, availabilityZone);
+            const sentAt = timeline.now();
+            result.inRegion += delay === regionDelayMs ? 1 : 0;
+            result.elsewhere += delay === farDelayMs ? 1 : 0;
+            used.add(number);
+            plan.began();
+            host.pool.began(number, sentAt);
+            let isOpen = true;
+            const end = (outcome: SendOutcome): void => {
+                isOpen = false;
+                const now = timeline.now();
+                const isFailure = outcome === SendOutcome.Broken || outcome === SendOutcome.ServerError;
+                const sign = outcome === SendOutcome.Answered ? Sign.Success : isFailure ? Sign.Failure : Sign.Stuck;
+                host.pool.ended(number, sign, now);
+                if (isFailure) {
+                    report(host);
+                }
+                if (outcome === SendOutcome.Answered) {
+                    host.latencies.note(cls.name, now - sentAt);
+                }
+                const step = plan.ended(outcome, now);
+                if (isDone || step === Step.Wait) {
+                    return;
+                }
+                const next = step === Step.SendAgain ? choose() : undefined;
+                if (next !== undefined) {
+                    send(next);
+                    return;
+                }
+                conclude(outcome === SendOutcome.Answered);
+            };
+            timeline.after(
+                delay,
+                () => serve(server, cls, site, timeline, random, outcome => timeline.after(delay, () => end(outcome))),
+            );
+            timeline.after(host.latencies.stuckAfterMs(cls.name, cls.objectiveMs), () => {
+                if (!isOpen || isDone) {
+                    return;
+                }
+                host.pool.noteStuck(number, timeline.now());
+                const other = cls.repeatability === Repeatability.Repeatable ? choose() : undefined;
+                if (other !== undefined && plan.mayHedge(timeline.now())) {
+                    send(other);
+                }
+            });
+        };
+        const first = choose();
+        if (first !== undefined) {
+            send(first);
+        }
+    };
+
+    for (const cls of site.classes) {
+        const arrive = (): void => {
+            request(hosts[random.below(hosts.length)]!, cls);
+            timeline.after(drawPause(random, 1000 / (cls.perSecond * load)), arrive);
+        };
+        timeline.after(drawPause(random, 1000 / (cls.perSecond * load)), arrive);
+    }
+    for (const host of hosts) {
+        const tick = (): void => {
+            report(host);
+            timeline.after(reportMs, tick);
+        };
+        timeline.after(random.below(reportMs), tick);
+    }
+    timeline.run(runMs);
+    const shares = [...tallies.values()].map(({ asked, served }) => asked === 0 ? 1 : served / asked);
+    return { ...result, worstClass: Math.min(...shares) };
+};
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,6 +2,7 @@
 import { measureAddedTime } from "./added-time.js";
 import { measureClaims } from "./claims.js";
 import { measureDetection } from "./detection.js";
+import { measureGateway } from "./gateway.js";
 import { measureKilledHosts } from "./killed-hosts.js";
 import type { Measurement } from "./measurement.js";
 import { measureOverload } from "./overload.js";
@@ -10,6 +11,7 @@
 
 /** The measurements that `npm run measure` knows. */
 export const measurements: Readonly<Record<string, Measurement>> = {
+    "gateway": measureGateway,
     "killed-hosts": measureKilledHosts,
     "added-time": measureAddedTime,
     "slopes": measureSlopes,
