--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -8,7 +8,7 @@
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { StateContact } from "./attachment.js";
 import type { ConfigDelta, GatewayConfig } from "./gateway-config.js";
-import type { ServerReport } from "./server-pool.js";
+import type { ServerReport } from "./server-pool-contract.js";
 
 export enum LinkMessageKind {
     /** First message of a state host to another one. */
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -10,5 +10,6 @@
 export * from "./retry-allowance.js";
 export * from "./route-index.js";
 export * from "./server-belief.js";
+export * from "./server-pool-contract.js";
 export * from "./server-pool.js";
 export * from "./service-trouble.js";
--- a/packages/core/src/lib/gateway/server-belief.ts
+++ b/packages/core/src/lib/gateway/server-belief.ts
@@ -10,7 +10,7 @@
 }
 
 /** The beliefs that are used. */
-export const defaultBeliefCfg: BeliefCfg = { prior: 0.15, forgetFailureMs: 3500, forgetSuccessMs: 6000 };
+export const defaultBeliefCfg: BeliefCfg = { prior: 0.15, forgetFailureMs: 6500, forgetSuccessMs: 2800 };
 
 /** How often a failing and a sound server yield each sign. */
 const likelihoods = {
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -7,13 +7,13 @@
     createServerPool,
     Repeatability,
     SendOutcome,
-    ServingState,
     Sign,
     Step,
 } from "@cassiapick/core";
-import type { ChoiceWeights, FleetServer, LatencyBook, Random, RetryAllowance, ServerPool } from "@cassiapick/core";
+import type { ChoiceWeights, LatencyBook, RetryAllowance, ServerPool } from "@cassiapick/core";
 import { createTimeline } from "@cassiapick/proofs";
-import type { Timeline } from "@cassiapick/proofs";
+import { createServers, drawPause, keepFailing, serve } from "./gateway-servers.js";
+import type { ModelServer } from "./gateway-servers.js";
 import type { ModelClass, ModelSite } from "./gateway-sites.js";
 
 /** How entry hosts choose. */
@@ -41,13 +41,6 @@
     worstClass: number;
 }
 
-interface Server {
-    record: FleetServer;
-    isFailing: boolean;
-    running: number;
-    queue: (() => void)[];
-}
-
 interface Host {
     zone: string;
     pool: ServerPool;
@@ -56,8 +49,6 @@
     key: string;
 }
 
-const slots = 3;
-const queueLength = 12;
 const reportMs = 100;
 const zoneDelayMs = 1;
 const regionDelayMs = 3;
@@ -65,85 +56,6 @@
 const runMs = 30_000;
 const lateCredit = 0.3;
 
-/** A positive number with the given mean and deviation over it (log-normal). */
-const drawWork = (random: Random, meanMs: number, spread: number): number => {
-    const variance = Math.log(1 + spread * spread);
-    const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
-    return meanMs * Math.exp(Math.sqrt(variance) * normal - variance / 2);
-};
-
-const drawPause = (random: Random, meanMs: number): number => -meanMs * Math.log(1 - random.next());
-
-const createServers = (site: ModelSite): Server[] => {
-    const servers: Server[] = [];
-    for (const [service, count] of Object.entries(site.serversPerZone)) {
-        for (const availabilityZone of Object.keys(site.regions)) {
-            for (let index = 0; index < count; index += 1) {
-                const number = servers.length + 1;
-                const record: FleetServer = {
-                    number,
-                    serverId: `s${number}`,
-                    service,
-                    address: "",
-                    availabilityZone,
-                    slots,
-                    state: ServingState.Ready,
-                    bornAt: 0,
-                    warmAt: 0,
-                    silent: false,
-                    keeper: "",
-                    revision: 1,
-                };
-                servers.push({ record, isFailing: false, running: 0, queue: [] });
-            }
-        }
-    }
-    return servers;
-};
-
-const keepFailing = (server: Server, site: ModelSite, timeline: Timeline, random: Random): void => {
-    const { share, meanMs } = site.failing;
-    const soundMeanMs = meanMs * (1 - share) / share;
-    const turn = (): void => {
-        server.isFailing = !server.isFailing;
-        timeline.after(drawPause(random, server.isFailing ? meanMs : soundMeanMs), turn);
-    };
-    server.isFailing = random.next() >= share;
-    turn();
-};
-
-/** Runs one request on a server; `done` gets the outcome. */
-const serve = (
-    server: Server,
-    cls: ModelClass,
-    site: ModelSite,
-    timeline: Timeline,
-    random: Random,
-    done: (outcome: SendOutcome) => void,
-): void => {
-    if (server.isFailing && random.next() < site.failing.fails) {
-        done(SendOutcome.Broken);
-        return;
-    }
-    const run = (): void => {
-        server.running += 1;
-        timeline.after(drawWork(random, cls.workMs, cls.spread), () => {
-            server.running -= 1;
-            server.queue.shift()?.();
-            done(random.next() < site.errorShare ? SendOutcome.ServerError : SendOutcome.Answered);
-        });
-    };
-    if (server.running < slots) {
-        run();
-    }
-    else if (server.queue.length < queueLength) {
-        server.queue.push(run);
-    }
-    else {
-        done(SendOutcome.Declined);
-    }
-};
-
 /** Runs a site for half a minute of fake time. */
 export const runModelFleet = (site: ModelSite, way: ModelWay, seed: number, load = 1): ModelResult => {
     const random = createRandom(seed);
@@ -244,7 +156,7 @@
                 result.credit += inTime ? 1 : lateCredit;
             }
         };
-        const choose = (): Server | undefined => {
+        const choose = (): ModelServer | undefined => {
             if (way.random === true) {
                 const fitting = servers.filter(server =>
                     server.record.service === cls.service && !used.has(server.record.number)
@@ -254,7 +166,7 @@
             const choice = host.pool.choose(cls.service, cls.repeatability, used, timeline.now());
             return choice === undefined ? undefined : servers[choice.server.number - 1];
         };
-        const send = (server: Server): void => {
+        const send = (server: ModelServer): void => {
             const { number, availabilityZone } = server.record;
             const delay = delayBetween(host.zone, availabilityZone);
             const sentAt = timeline.now();
