Test state hosts that come and go

A fleet of consensus nodes in fake time, three seeds: founding from the seeds, joins, a successor at another address that knows old seeds only, a return after being taken out, the least number of voters, an acknowledged number after a lost disk and a kill of all, and a majority that is away. A request forwarded to a leader that has just ended is answered 'unavailable' after 3 s; that is allowed, its outcome is unknown.

--- /dev/null
+++ b/packages/core/src/test/voters_test.ts
@@ -0,0 +1,211 @@
+import { expect } from "chai";
+import {
+    createRandom,
+    createStateNode,
+    drawIncarnation,
+    NodeActionKind,
+    NodeEventKind,
+    StateReplyKind,
+    StateRequestKind,
+    StateRole,
+} from "../index.js";
+import type { HardState, LogEntry, NodeAction, NodeEvent, Snapshot, StateNode, StateReply, StateRequest } from "../index.js";
+
+const tickMs = 50;
+
+interface Disk {
+    hardState: HardState;
+    snapshot?: Snapshot;
+    entries: LogEntry[];
+}
+
+interface Host {
+    node: StateNode;
+    disk: Disk;
+}
+
+/** State hosts that find each other from the same seeds, in fake time. */
+interface Fleet {
+    add(hostId: string, founding: boolean): void;
+    /** Ends a process; its disk stays. */
+    stop(hostId: string): void;
+    /** Starts a process again from its disk, or from an empty one. */
+    restart(hostId: string, losesDisk: boolean): void;
+    run(ms: number): void;
+    request(hostId: string, request: StateRequest): StateReply | undefined;
+    node(hostId: string): StateNode;
+    leader(): string | undefined;
+}
+
+const createFleet = (seeds: readonly string[], seed: number): Fleet => {
+    const random = createRandom(seed);
+    const hosts = new Map<string, Host>();
+    const disks = new Map<string, Disk>();
+    const replies = new Map<number, StateReply>();
+    let inFlight: { to: string; event: NodeEvent; }[] = [];
+    let now = 0;
+    let requestId = 0;
+
+    const perform = (hostId: string, disk: Disk, action: NodeAction): void => {
+        switch (action.kind) {
+            case NodeActionKind.SaveHardState:
+                disk.hardState = action.hardState;
+                break;
+            case NodeActionKind.Append:
+                disk.entries.push(...action.entries);
+                break;
+            case NodeActionKind.Truncate:
+                disk.entries = disk.entries.filter(entry => entry.index < action.fromIndex);
+                break;
+            case NodeActionKind.SaveSnapshot:
+                disk.snapshot = action.snapshot;
+                disk.entries = [...action.entries];
+                break;
+            case NodeActionKind.Send:
+                inFlight.push({
+                    to: action.to,
+                    event: { kind: NodeEventKind.Message, from: hostId, message: structuredClone(action.message) },
+                });
+                break;
+            case NodeActionKind.Reply:
+                replies.set(action.requestId, action.reply);
+                break;
+        }
+    };
+
+    const step = (hostId: string, event: NodeEvent): void => {
+        const host = hosts.get(hostId);
+        for (const action of host?.node.step(event, now) ?? []) {
+            perform(hostId, host!.disk, action);
+        }
+    };
+
+    const start = (hostId: string, disk: Disk): void => {
+        disks.set(hostId, disk);
+        const node = createStateNode({
+            hostId,
+            hostIds: seeds,
+            stored: structuredClone(disk),
+            random: createRandom(random.below(2 ** 30)),
+            wallClock: () => now,
+            timing: { heartbeatMs: 200, electionMs: 800, requestMs: 3000 },
+            replacement: { minVoters: 3, absentMs: 8000 },
+        });
+        hosts.set(hostId, { node, disk });
+    };
+
+    const emptyDisk = (founding: boolean): Disk => ({
+        hardState: { incarnation: founding ? 1 : drawIncarnation(random), founding, term: 0 },
+        entries: [],
+    });
+
+    const run = (ms: number): void => {
+        for (const end = now + ms; now < end; now += tickMs) {
+            const arrived = inFlight;
+            inFlight = [];
+            arrived.forEach(({ to, event }) => step(to, event));
+            [...hosts.keys()].forEach(hostId => step(hostId, { kind: NodeEventKind.Tick }));
+        }
+    };
+
+    return {
+        add: (hostId, founding) => start(hostId, emptyDisk(founding)),
+        stop: hostId => {
+            hosts.delete(hostId);
+        },
+        restart: (hostId, losesDisk) => start(hostId, losesDisk ? emptyDisk(false) : disks.get(hostId)!),
+        run,
+        request: (hostId, request) => {
+            requestId += 1;
+            const asked = requestId;
+            step(hostId, { kind: NodeEventKind.Request, requestId: asked, request });
+            run(4000);
+            return replies.get(asked);
+        },
+        node: hostId => hosts.get(hostId)!.node,
+        leader: () => [...hosts].find(([, host]) => host.node.status().role === StateRole.Leader)?.[0],
+    };
+};
+
+const publish = (number: number): StateRequest => ({
+    kind: StateRequestKind.Publish,
+    published: { number, document: `document ${number}` },
+});
+const read: StateRequest = { kind: StateRequestKind.ReadPublished };
+
+describe("state hosts that come and go", () => {
+    for (const seed of [1, 2, 3]) {
+        const found = (): Fleet => {
+            const fleet = createFleet(["a", "b", "c"], seed);
+            ["a", "b", "c", "d", "e"].forEach((hostId, index) => fleet.add(hostId, index < 3));
+            fleet.run(5000);
+            return fleet;
+        };
+
+        it(`all vote that start together, seed ${seed}`, () => {
+            const fleet = found();
+            expect(fleet.node("e").voters().sort()).to.deep.equal(["a", "b", "c", "d", "e"]);
+            expect(fleet.request("e", publish(3))?.kind).to.equal(StateReplyKind.Recorded);
+            for (const hostId of ["a", "b", "c", "d", "e"]) {
+                expect(fleet.node(hostId).fleet()?.published()?.number).to.equal(3);
+                expect(fleet.node(hostId).ageMs(5000 + 4000)).to.be.below(1000);
+            }
+        });
+
+        it(`a successor at another address votes in place of a host that is gone for good, seed ${seed}`, () => {
+            const fleet = found();
+            fleet.request("b", publish(5));
+            fleet.stop("a");
+            // It knows the old seeds only, the first of which is gone.
+            fleet.add("f", false);
+            fleet.run(12_000);
+            expect(fleet.node("f").voters().sort()).to.deep.equal(["b", "c", "d", "e", "f"]);
+            expect(fleet.node("f").fleet()?.published()?.number).to.equal(5);
+            fleet.stop("b");
+            fleet.stop("c");
+            // A request that goes to the leader that has just ended has no known outcome, so another leader is awaited.
+            fleet.run(4000);
+            expect(fleet.request("f", publish(6))?.kind).to.equal(StateReplyKind.Recorded);
+        });
+
+        it(`a host that was taken out while it was away votes again, seed ${seed}`, () => {
+            const fleet = found();
+            fleet.stop("d");
+            fleet.run(12_000);
+            expect(fleet.node("a").voters().sort()).to.deep.equal(["a", "b", "c", "e"]);
+            fleet.restart("d", false);
+            fleet.run(3000);
+            expect(fleet.node("d").voters().sort()).to.deep.equal(["a", "b", "c", "d", "e"]);
+        });
+
+        it(`no voter is taken out below the number that bears a lost disk, seed ${seed}`, () => {
+            const fleet = createFleet(["a", "b", "c"], seed);
+            ["a", "b", "c"].forEach(hostId => fleet.add(hostId, true));
+            fleet.run(3000);
+            fleet.stop("c");
+            fleet.run(30_000);
+            expect(fleet.node("a").voters().sort()).to.deep.equal(["a", "b", "c"]);
+        });
+
+        it(`an acknowledged number outlives a lost disk and the kill of all others, seed ${seed}`, () => {
+            const fleet = found();
+            expect(fleet.request("a", publish(9))?.kind).to.equal(StateReplyKind.Recorded);
+            const leader = fleet.leader()!;
+            ["a", "b", "c", "d", "e"].forEach(hostId => fleet.stop(hostId));
+            ["a", "b", "c", "d", "e"].forEach(hostId => fleet.restart(hostId, hostId === leader));
+            fleet.run(6000);
+            const reply = fleet.request("e", read);
+            expect(reply?.kind === StateReplyKind.Published && reply.published?.number).to.equal(9);
+        });
+
+        it(`a majority that is away is not replaced, seed ${seed}`, () => {
+            const fleet = found();
+            ["a", "b", "c"].forEach(hostId => fleet.stop(hostId));
+            fleet.add("f", false);
+            fleet.add("g", false);
+            fleet.run(20_000);
+            expect(fleet.request("d", publish(4))?.kind).to.equal(StateReplyKind.Unavailable);
+            expect(fleet.node("d").ageMs(100_000)).to.equal(Infinity);
+        });
+    }
+});
