--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -6,6 +6,7 @@
     HostRole,
     isLinkMessage,
     LinkMessageKind,
+    nearestContact,
     StateReplyKind,
     StateRequestKind,
 } from "@cassiapick/core";
@@ -37,6 +38,8 @@
     hostId: string;
     availabilityZone: string;
     region: string;
+    /** Regions by availability zone. */
+    regions: Readonly<Record<string, string>>;
     /** The state hosts to ask first, as "host:port". A first start founds the fleet's state with them. */
     seeds: readonly string[];
     folder: DataFolder;
@@ -73,6 +76,8 @@
     leave(serverId: string, bornAt: number | undefined): Promise<ControlOutcome>;
     publish(published: Published): Promise<ControlOutcome>;
     read(): Promise<ReadResult>;
+    /** The name of the state host, this one included, that servers of a zone should announce themselves to. */
+    nearest(availabilityZone: string): string;
     /** Other state hosts may be asked from now on. */
     setSeeds(seeds: readonly string[]): void;
     /** Where a caller should connect. */
@@ -320,6 +325,13 @@
             const reply = await driver.request({ kind: StateRequestKind.ReadPublished });
             return reply.kind === StateReplyKind.Published ? { ok: true, published: reply.published } : { ok: false };
         },
+        nearest: zone => {
+            const fleet = driver.fleet();
+            const own = { address: hostId, availabilityZone: options.availabilityZone, region: options.region };
+            return fleet === undefined
+                ? hostId
+                : nearestContact(contactsOf(fleet), own, zone, options.regions[zone] ?? "").address;
+        },
         addresses: (availabilityZone, region) => {
             const fleet = driver.fleet();
             return fleet === undefined ? [] : callerAddresses(fleet.hosts(), availabilityZone, region);
--- a/packages/core/src/lib/gateway/attachment.ts
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -1,5 +1,6 @@
 /** Which state host an entry host listens to: the nearest one whose view a majority has confirmed lately. */
 import type { Random } from "../random.js";
+import { distanceTo } from "./nearest-contact.js";
 
 /** A state host that can be listened to. */
 export interface StateContact {
@@ -55,12 +56,7 @@
     let isSettled = false;
     const avoidUntil = new Map<string, number>();
 
-    const distance = (contact: StateContact): number => {
-        if (contact.availabilityZone === cfg.availabilityZone) {
-            return 0;
-        }
-        return contact.region === cfg.region ? 1 : 2;
-    };
+    const distance = (contact: StateContact): number => distanceTo(contact, cfg.availabilityZone, cfg.region);
 
     const candidates = (): StateContact[] => {
         const known = new Set(contacts.map(contact => contact.address));
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from "./gateway-config.js";
 export * from "./keeper.js";
 export * from "./latency-book.js";
+export * from "./nearest-contact.js";
 export * from "./request-plan.js";
 export * from "./retry-allowance.js";
 export * from "./route-index.js";
