Try servers that joined, and go to farther sound ones sooner

Change: a server that joined gets one request once it is warm; distance weighs 0.04 and 0.06, about what bytes cost beside a lost request on both sites. The contract of the control host has its own module.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,5 @@
 /** The state host of a fleet that serves published configurations. */
+export * from "./lib/control-contract.js";
 export * from "./lib/control-host.js";
 export * from "./lib/open-storage.js";
 export { splitAddress } from "./lib/peer-links.js";
--- a/packages/core/src/lib/gateway/choice-weights.ts
+++ b/packages/core/src/lib/gateway/choice-weights.ts
@@ -19,7 +19,7 @@
     wait: number;
     /** Taking the last free slot: some servers slow down when nearly full. */
     nearlyFull: number;
-    /** What trying an idle server is worth while its service fails many requests. */
+    /** What trying an idle server is worth while its service fails many requests, or when it is new. */
     trial: number;
     /** A server that has just started and is slow. */
     cold: number;
@@ -35,10 +35,10 @@
 /** The weights that are used. */
 export const defaultChoiceWeights: ChoiceWeights = {
     zone: 0,
-    region: 0.08,
-    elsewhere: 0.12,
+    region: 0.04,
+    elsewhere: 0.06,
     failure: { [Repeatability.Repeatable]: 0.4, [Repeatability.AtMostOnce]: 1 },
-    soundEnough: 0.04,
+    soundEnough: 0.02,
     load: 0.02,
     wait: 1.5,
     nearlyFull: 0.03,
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -14,6 +14,8 @@
 import type { Choice, ServerPool, ServerPoolCfg, ServerReport } from "./server-pool-contract.js";
 import { createServiceTrouble } from "./service-trouble.js";
 
+/** A server that has been warm for longer than this is not new any more, in milliseconds. */
+const newMs = 6000;
 /** A server without any request for this long is idle, in milliseconds. */
 const idleMs = 1600;
 /** Servers that fail by themselves are given this long to recover before they are tried, in milliseconds. */
@@ -155,6 +157,13 @@
         member.record.availabilityZone === availabilityZone && !member.record.silent
         && now - member.usedAt > idleMs && now - member.failedAt > recoveryMs;
 
+    /** A server that joined and has warmed up gets a first request soon, or nobody would know that it serves. */
+    const isNew = (member: Member): boolean => {
+        const warmForMs = cfg.wallClock() - member.record.warmAt;
+        return member.usedAt === -Infinity && member.record.availabilityZone === availabilityZone && !member.record.silent
+            && warmForMs >= 0 && warmForMs < newMs;
+    };
+
     const isUsable = (member: Member, excluded: ReadonlySet<number>): boolean =>
         member.record.state === ServingState.Ready && !member.replaced && !excluded.has(member.record.number)
         && member.own + member.othersTotal < member.record.slots + weights.queueBeyondSlots;
@@ -173,7 +182,7 @@
             if (!isUsable(member, excluded)) {
                 continue;
             }
-            const isTrial = isTroubled && deservesTrial(member, now);
+            const isTrial = isNew(member) || (isTroubled && deservesTrial(member, now));
             const cost = costOf(member, repeatability, usualShare, now) - (isTrial ? weights.trial : 0);
             if (cost < bestCost) {
                 best = member;
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -101,6 +101,21 @@
         },
         { name: "uses a silent server when there is no other", servers: [server(1, "a1", { silent: true })], expected: 1 },
         { name: "spares a cold server", servers: [server(1, "a1", { warmAt: 12_000 }), region], expected: 2 },
+        {
+            name: "gives a server that joined and has warmed up a first request",
+            servers: [server(1, "a1"), server(2, "a1", { warmAt: 9000 })],
+            prepare: pool => pool.ended(1, Sign.Success, 0),
+            expected: 2,
+        },
+        {
+            name: "does not, once another host has used it",
+            servers: [server(1, "a1"), server(2, "a1", { warmAt: 9000 })],
+            prepare: pool => {
+                pool.ended(1, Sign.Success, 0);
+                pool.takeReport("h", { number: 2, successes: 0, failures: 0, inFlight: 1 }, 0);
+            },
+            expected: 1,
+        },
         { name: "finds none where all are gone", servers: [server(1, "a1", { state: ServingState.Gone })], expected: undefined },
     ];
     for (const { name, servers = [near, region, far], prepare, now = 1, expected } of cases) {
