--- a/packages/core/src/lib/gateway/service-trouble.ts
+++ b/packages/core/src/lib/gateway/service-trouble.ts
@@ -9,11 +9,11 @@
 }
 
 /** Outcomes fade with this time constant, in milliseconds. */
-const fadeMs = 1500;
+const fadeMs = 3000;
 /** Share of failures above which idle servers are tried: below the tenth at which operators expect wide use. */
 const troubledShare = 0.085;
-/** With fewer outcomes than this one failure would look like trouble. */
-const leastOutcomes = 6;
+/** With fewer failures than this, chance would look like trouble: an availability zone sees a few requests a second. */
+const leastFailures = 2.5;
 
 interface Tally {
     failures: number;
@@ -43,7 +43,7 @@
         },
         isTroubled: (service, now) => {
             const { failures, outcomes } = faded(service, now);
-            return outcomes >= leastOutcomes && failures > troubledShare * outcomes;
+            return failures >= leastFailures && failures > troubledShare * outcomes;
         },
     };
 };
