Let a long briefing of an entry host come to its end

Change: the view goes before the briefing; a host does not leave while parts of a message come in; long messages are deflated (350 routes to less than a quarter).

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -163,8 +163,9 @@
     const openEntry = (link: Link, hello: EntryHello): void => {
         noteEntry(entries.open(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
-        brief();
+        // The view goes first: it tells the host that it need not look further while a long briefing comes in.
         tellView();
+        brief();
     };
 
     type Handlers = { [K in LinkMessageKind]?: (link: Link, message: Extract<LinkMessage, { k: K; }>) => void; };
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -9,7 +9,7 @@
     ReportRow,
     StateContact,
 } from "@cassiapick/core";
-import { encodeFrame } from "@cassiapick/wire";
+import { encodeCompactFrame } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 
 /** What a state host tells its entry hosts. */
@@ -109,7 +109,7 @@
     };
 
     const broadcast = (message: LinkMessage): void => {
-        const frame = encodeFrame(message);
+        const frame = encodeCompactFrame(message);
         for (const link of listeners.keys()) {
             link.sendFrame(frame);
         }
--- a/packages/core/src/lib/gateway/attachment.ts
+++ b/packages/core/src/lib/gateway/attachment.ts
@@ -28,6 +28,8 @@
     lost(address: string, now: number): void;
     /** The attached host's view was confirmed by a majority `ageMs` ago. */
     heard(address: string, ageMs: number, now: number): void;
+    /** A part of a long message came from `address`: its view waits behind it. */
+    progress(address: string, now: number): void;
     /** Where to connect next, when a new connection is wanted at `now`; `undefined` to stay. */
     next(now: number): string | undefined;
     current(): string | undefined;
@@ -43,6 +45,8 @@
 const settleMs = 1500;
 /** How long the first view is waited for, in milliseconds: a state host that leads or follows tells it at once. */
 const firstViewMs = 350;
+/** A briefing whose parts stop coming for this long has stopped, in milliseconds. */
+const progressMs = 500;
 /** Shortest time between two tries, in milliseconds. */
 const retryMs = 150;
 
@@ -53,6 +57,7 @@
     let current: string | undefined;
     let confirmedAt = -Infinity;
     let triedAt = -Infinity;
+    let progressAt = -Infinity;
     let isSettled = false;
     const avoidUntil = new Map<string, number>();
 
@@ -110,8 +115,15 @@
                 confirmedAt = Math.max(confirmedAt, now - ageMs);
             }
         },
+        progress: (address, now) => {
+            if (address === current) {
+                progressAt = now;
+            }
+        },
         next: now => {
-            const isFresh = now - confirmedAt <= maxViewAgeMs;
+            // A host that left in the middle of a long briefing would begin another one, and fill its link with them.
+            const isBriefed = now - progressAt < progressMs;
+            const isFresh = isBriefed || now - confirmedAt <= maxViewAgeMs;
             const move = current !== undefined && isFresh ? nearer(now) : undefined;
             if (move !== undefined) {
                 isSettled = true;
--- a/packages/core/src/test/attachment_test.ts
+++ b/packages/core/src/test/attachment_test.ts
@@ -61,6 +61,19 @@
         expect(movedAt).to.be.at.most(400);
     });
 
+    // At the grown size a briefing with 350 new routes took longer than the patience, and hosts began one after another.
+    it("does not leave in the middle of a long briefing, but soon after one that has stopped", () => {
+        const attachment = create([]);
+        attachment.setContacts(contacts);
+        attachment.next(0);
+        for (let now = 50; now < 4000; now += 50) {
+            attachment.progress("near:1", now);
+            expect(attachment.next(now)).to.equal(undefined);
+        }
+        expect(attachment.next(4400)).to.equal(undefined);
+        expect(attachment.next(4600)).to.equal("region:1");
+    });
+
     it("tries the next one soon when a connection fails, and comes back to no failed one at once", () => {
         const attachment = create([]);
         attachment.setContacts(contacts);
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -103,6 +103,11 @@
                     receive(address, message);
                 }
             },
+            progress: from => {
+                if (from === link) {
+                    attachment.progress(address, clock());
+                }
+            },
             closed: (closed, reason) => {
                 if (closed !== link) {
                     return;
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -1,5 +1,6 @@
-/** Frames: a length of four bytes, big-endian, then one cbor-x value. */
+/** Frames: a length of four bytes, big-endian, then one cbor-x value, which is deflated when the length's highest bit is set. */
 import { Decoder, Encoder } from "cbor-x";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 
 const lengthBytes = 4;
 /** The largest frame that is sent or accepted, in bytes. */
@@ -15,6 +16,8 @@
 /** Collects the chunks of one connection into values. */
 export interface FrameReader {
     push(chunk: Uint8Array): FrameResult;
+    /** Whether a frame has come in part. */
+    isAmidFrame(): boolean;
 }
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
@@ -29,6 +32,26 @@
     return frame;
 };
 
+/** Set in the length of a frame whose value is deflated. */
+const deflatedBit = 0x8000_0000;
+/** Shorter values are not worth the time, in bytes. */
+const leastDeflatedBytes = 1024;
+/** The fastest level: tables of routes and servers shrink to a fifth with it. */
+const deflateLevel = 1;
+
+/** Encodes one value as a frame, deflated when it is long. */
+export const encodeCompactFrame = (value: unknown): Buffer => {
+    const body = encoder.encode(value);
+    if (body.length < leastDeflatedBytes) {
+        return encodeFrame(value);
+    }
+    const deflated = deflateRawSync(body, { level: deflateLevel });
+    const frame = Buffer.allocUnsafe(lengthBytes + deflated.length);
+    frame.writeUInt32BE(deflatedBit + deflated.length, 0);
+    deflated.copy(frame, lengthBytes);
+    return frame;
+};
+
 const tooLarge = (bytes: number, limit: number): FrameResult => ({
     ok: false,
     err: {
@@ -55,7 +78,9 @@
         pending = pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([pending, chunk]);
         const values: unknown[] = [];
         while (pending.length >= lengthBytes) {
-            const bytes = pending.readUInt32BE(0);
+            const length = pending.readUInt32BE(0);
+            const isDeflated = length >= deflatedBit;
+            const bytes = isDeflated ? length - deflatedBit : length;
             if (bytes > limit) {
                 return tooLarge(bytes, limit);
             }
@@ -64,7 +89,8 @@
                 break;
             }
             try {
-                values.push(decoder.decode(pending.subarray(lengthBytes, end)));
+                const body = pending.subarray(lengthBytes, end);
+                values.push(decoder.decode(isDeflated ? inflateRawSync(body, { maxOutputLength: limit }) : body));
             }
             catch {
                 return malformed();
@@ -74,5 +100,5 @@
         return { ok: true, values };
     };
 
-    return { push };
+    return { push, isAmidFrame: () => pending.length > 0 };
 };
--- a/packages/wire/src/lib/link.ts
+++ b/packages/wire/src/lib/link.ts
@@ -1,7 +1,7 @@
 /** Connections that carry messages both ways, as frames. */
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
-import { createFrameReader, encodeFrame } from "./frame-codec.js";
+import { createFrameReader, encodeCompactFrame } from "./frame-codec.js";
 
 /** One open connection. */
 export interface Link {
@@ -16,6 +16,8 @@
 export interface LinkHandlers {
     opened?: (link: Link) => void;
     message: (link: Link, message: unknown) => void;
+    /** A part of a long message has come. */
+    progress?: (link: Link) => void;
     /** The last event of a connection; `reason` tells people why. */
     closed: (link: Link, reason: string) => void;
 }
@@ -94,7 +96,7 @@
         socket.write(frame);
     };
     const link: Link = {
-        send: message => sendFrame(encodeFrame(message)),
+        send: message => sendFrame(encodeCompactFrame(message)),
         sendFrame,
         close: () => fail("This host closed the connection."),
     };
@@ -108,6 +110,9 @@
         for (const message of result.values) {
             handlers.message(link, message);
         }
+        if (reader.isAmidFrame()) {
+            handlers.progress?.(link);
+        }
     });
     socket.on("end", () => socket.destroy());
     socket.on("error", err => {
--- a/packages/wire/src/test/frame-codec_test.ts
+++ b/packages/wire/src/test/frame-codec_test.ts
@@ -1,7 +1,8 @@
 /** Frames: whatever bytes arrive, the reader neither throws nor lets one connection reach another. */
 import { expect } from "chai";
 import fc from "fast-check";
-import { createFrameReader, encodeFrame } from "../lib/frame-codec.js";
+import { deflateRawSync } from "node:zlib";
+import { createFrameReader, encodeCompactFrame, encodeFrame } from "../lib/frame-codec.js";
 import { isEnvelope } from "../lib/rpc-message.js";
 
 const seed = 20_261_203;
@@ -102,4 +103,25 @@
             { seed, numRuns: 500 },
         );
     });
+
+    it("deflates long values, and reads them in parts", () => {
+        const rows = Array.from(
+            { length: 350 },
+            (_, index) => ({ name: `route-${index}`, hostName: "a.example", timeoutMs: 1000 }),
+        );
+        const frame = encodeCompactFrame(rows);
+        expect(frame.length).to.be.below(encodeFrame(rows).length / 4);
+        const reader = createFrameReader();
+        expect(reader.push(frame.subarray(0, 100))).to.deep.equal({ ok: true, values: [] });
+        expect(reader.isAmidFrame()).to.equal(true);
+        expect(reader.push(frame.subarray(100))).to.deep.equal({ ok: true, values: [rows] });
+        expect(reader.isAmidFrame()).to.equal(false);
+    });
+
+    it("refuses a deflated value that grows beyond the limit", () => {
+        const deflated = deflateRawSync(Buffer.alloc(10 * limit));
+        const frame = Buffer.concat([Buffer.alloc(4), deflated]);
+        frame.writeUInt32BE(0x8000_0000 + deflated.length, 0);
+        expect(createFrameReader(limit).push(frame).ok).to.equal(false);
+    });
 });
