--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -2,4 +2,3 @@
 export * from "./lib/control-contract.js";
 export * from "./lib/control-host.js";
 export * from "./lib/open-storage.js";
-export { splitAddress } from "./lib/peer-links.js";
--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -20,7 +20,7 @@
     StateReply,
 } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
-import { createLinkServer, encodeFrame } from "@cassiapick/wire";
+import { createLinkServer, encodeFrame, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { ControlOutcome } from "./control-contract.js";
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
@@ -48,10 +48,7 @@
 export const startControlHost = async (options: ControlHostOptions): Promise<ControlHost> => {
     const { hostId, clock, wallClock, log } = options;
     const startedAt = wallClock();
-    const { host, port } = {
-        host: hostId.slice(0, hostId.lastIndexOf(":")),
-        port: Number(hostId.slice(hostId.lastIndexOf(":") + 1)),
-    };
+    const { host, port } = splitAddress(hostId);
     const peers = createPeerLinks({ hostId, localAddress: host, clock });
     const entries = createEntryLinks(options.availabilityZone);
     const keeper = createKeeper({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,7 +1,7 @@
 /** Carries the consensus between state hosts; a link is opened when there is something to send. */
 import { LinkMessageKind } from "@cassiapick/core";
 import type { PeerMessage } from "@cassiapick/core";
-import { openLink } from "@cassiapick/wire";
+import { openLink, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 
 /** Options of {@link createPeerLinks}. */
@@ -38,12 +38,6 @@
 /** The most messages that wait for a connection; older ones are repeated by the consensus. */
 const maxWaiting = 32;
 
-/** Splits "host:port". */
-export const splitAddress = (address: string): { host: string; port: number; } => {
-    const colon = address.lastIndexOf(":");
-    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-};
-
 /** Creates the outgoing links of one state host. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
     const peers = new Map<string, Peer>();
--- a/packages/core/src/lib/gateway/gateway-config.ts
+++ b/packages/core/src/lib/gateway/gateway-config.ts
@@ -19,7 +19,7 @@
     /** The host name that callers ask for, in lower case. */
     hostName: string;
     /** Begins and ends with a slash. */
-    pathPrefix: string;
+    prefix: string;
     repeatability: Repeatability;
     /** The longest time that a caller is kept waiting, in milliseconds. */
     timeoutMs: number;
--- a/packages/core/src/lib/gateway/route-index.ts
+++ b/packages/core/src/lib/gateway/route-index.ts
@@ -23,7 +23,7 @@
     const byHost = new Map<string, Map<string, GatewayRoute>>();
     for (const route of routes) {
         const prefixes = byHost.get(route.hostName) ?? new Map<string, GatewayRoute>();
-        prefixes.set(route.pathPrefix, route);
+        prefixes.set(route.prefix, route);
         byHost.set(route.hostName, prefixes);
     }
 
--- a/packages/core/src/test/gateway-config_test.ts
+++ b/packages/core/src/test/gateway-config_test.ts
@@ -2,10 +2,10 @@
 import { applyDelta, createRandom, createRouteIndex, diffConfig, drawDestination, Repeatability } from "../index.js";
 import type { GatewayConfig, GatewayRoute } from "../index.js";
 
-const route = (name: string, hostName: string, pathPrefix: string): GatewayRoute => ({
+const route = (name: string, hostName: string, prefix: string): GatewayRoute => ({
     name,
     hostName,
-    pathPrefix,
+    prefix,
     repeatability: Repeatability.AtMostOnce,
     timeoutMs: 1000,
     latencyObjectiveMs: 500,
--- a/packages/entry/src/lib/headers.ts
+++ b/packages/entry/src/lib/headers.ts
@@ -1,4 +1,5 @@
 /** Names of the headers of the fleet, and the rules for passing headers on. */
+import { hopByHopHeaders } from "@cassiapick/operations";
 
 /** Lower-case names of the fleet's own headers. */
 export const fleetHeaders = {
@@ -20,20 +21,7 @@
 /** Header names with their values. */
 export type HeaderMap = Record<string, string | string[]>;
 
-const hopByHop = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "host",
-    "content-length",
-]);
+const hopByHop = new Set([...hopByHopHeaders, "host", "content-length"]);
 
 const own = new Set<string>(Object.values(fleetHeaders));
 
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -1,5 +1,6 @@
 /** One send of a request to one backend server, on a connection of its own. */
 import { SendOutcome } from "@cassiapick/core";
+import { splitAddress } from "@cassiapick/wire";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { connect } from "node:net";
@@ -76,7 +77,6 @@
 /** Sends a request. The result never rejects. */
 export const startExchange = (req: ExchangeRequest, options: ExchangeOptions): Exchange => {
     const { names } = options;
-    const colon = req.address.lastIndexOf(":");
     let settle: (result: ExchangeResult) => void = () => undefined;
     const result = new Promise<ExchangeResult>(resolve => {
         settle = resolve;
@@ -84,8 +84,7 @@
     let isDone = false;
     let isConnected = false;
     const socket = connect({
-        host: req.address.slice(0, colon),
-        port: Number(req.address.slice(colon + 1)),
+        ...splitAddress(req.address),
         localAddress: options.localAddress,
         noDelay: true,
     });
--- a/packages/gateway/src/lib/headers.ts
+++ b/packages/gateway/src/lib/headers.ts
@@ -1,4 +1,5 @@
 /** Names of the headers that the gateway reads and sets, and the rules for passing headers on. */
+import { hopByHopHeaders } from "@cassiapick/operations";
 
 /** The headers of one deployment, in lower case. */
 export interface ExchangeHeaders {
@@ -17,19 +18,6 @@
 /** Headers as name and value by turns, like `rawHeaders` of Node. */
 export type RawHeaders = readonly string[];
 
-const hopByHop = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-]);
-
 /** The first value of a header, by its lower-case name. */
 export const valueOf = (headers: RawHeaders, name: string): string | undefined => {
     for (let index = 0; index + 1 < headers.length; index += 2) {
@@ -47,7 +35,7 @@
     const result: string[] = [];
     for (let index = 0; index + 1 < headers.length; index += 2) {
         const name = headers[index]!.toLowerCase();
-        if (!hopByHop.has(name) && !left.has(name)) {
+        if (!hopByHopHeaders.has(name) && !left.has(name)) {
             result.push(headers[index]!, headers[index + 1]!);
         }
     }
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -2,7 +2,7 @@
 import { createAttachment, isLinkMessage, LinkMessageKind, toReportRow } from "@cassiapick/core";
 import type { EntryHello, HostPhase, LinkMessage, Random, ServerReport } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
-import { openLink } from "@cassiapick/wire";
+import { openLink, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 
 /** Options of {@link createStateLink}. */
@@ -81,9 +81,7 @@
     const attach = (address: string): void => {
         link?.close();
         isOpen = false;
-        const colon = address.lastIndexOf(":");
-        const host = address.slice(0, colon);
-        const port = Number(address.slice(colon + 1));
+        const { host, port } = splitAddress(address);
         link = openLink({ host, port, localAddress: options.localAddress, connectTimeoutMs, silenceMs }, {
             opened: opened => {
                 if (opened !== link) {
--- a/packages/operations/src/index.ts
+++ b/packages/operations/src/index.ts
@@ -3,6 +3,7 @@
 export { burnSchema } from "./lib/entry-status-check.js";
 export * from "./lib/event-log.js";
 export * from "./lib/events.js";
+export * from "./lib/hop-by-hop.js";
 export * from "./lib/line-writer.js";
 export * from "./lib/metrics.js";
 export * from "./lib/nearest-name.js";
--- /dev/null
+++ b/packages/operations/src/lib/hop-by-hop.ts
@@ -0,0 +1,13 @@
+/** Headers that concern one connection only, in lower case. */
+export const hopByHopHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+]);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,4 +1,5 @@
 /** Typed messages between the programs of the fleet, over TCP with cbor-x framing. */
+export * from "./lib/address.js";
 export * from "./lib/frame-codec.js";
 export * from "./lib/link.js";
 export * from "./lib/rpc-client.js";
