Call a service troubled also when all availability zones together fail a tenth

The rule counts a service over nine availability zones, while a host looked at its own; a zone that fails little left its idle and new servers alone. Change: failures that other zones report count against the load of all zones, taken to be like the own. Tests of both sides of the bound.

--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -48,8 +48,8 @@
     const byId = new Map<string, number>();
     const byService = new Map<string, Set<Member>>();
     const { availabilityZone, regions } = cfg.place;
+    const trouble = createServiceTrouble(Object.keys(regions).length);
     const weights = cfg.weights ?? defaultChoiceWeights;
-    const trouble = createServiceTrouble();
 
     const remove = (member: Member): void => {
         members.delete(member.record.number);
@@ -286,6 +286,7 @@
             const member = members.get(report.number);
             if (member !== undefined) {
                 Array<Sign>(report.failures).fill(Sign.Failure).forEach(sign => learn(member, sign, now));
+                trouble.noteElsewhere(member.record.service, report.failures, now);
             }
         },
         forgetHost: hostKey => {
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -191,6 +191,22 @@
             });
         }
 
+        // smcw-gate-grown: nine availability zones, of which some fail more than a tenth and the others little.
+        const elsewhere: { name: string; failures: number; isTried: boolean; }[] = [
+            { name: "tries idle servers also where few fail, if all zones together fail a tenth", failures: 20, isTried: true },
+            { name: "takes failures elsewhere for a share of the load of all zones", failures: 5, isTried: false },
+        ];
+        for (const { name, failures, isTried } of elsewhere) {
+            it(name, () => {
+                const pool = createPool([near, server(2, "a1"), server(3, "a1"), far]);
+                pool.ended(3, Sign.Success, 4900);
+                fail(pool, 0);
+                pool.takeFailures({ number: 3, successes: 0, failures, inFlight: 0 }, 5000);
+                const picked = new Set(Array.from({ length: 20 }, () => chosen(pool, 5001)));
+                expect(picked.has(2)).to.equal(isTried);
+            });
+        }
+
         it("leaves idle servers alone while few requests fail", () => {
             const pool = createPool([near, server(2, "a1"), server(3, "a1"), far]);
             pool.ended(2, Sign.Failure, 2000);
