Go on from the disk after a fault of a state host's decisions

Change: a fault of the decisions is logged and treated like a failed write; a fault of a briefing is logged.

--- a/packages/state/src/lib/state-driver.ts
+++ b/packages/state/src/lib/state-driver.ts
@@ -148,6 +148,30 @@
         void reopenUntilSound(options.reopen);
     };
 
+    /** A fault of the decisions leaves them in an unknown state, so the host goes on from its disk as after a failed write. */
+    const decide = (events: readonly NodeEvent[]): NodeAction[] => {
+        try {
+            return events.flatMap(event => node.step(event, clock()));
+        }
+        catch (err) {
+            const { message, stack } = err as Error;
+            log.log("internalFault", { message, stack });
+            fail(err as Error);
+            return [];
+        }
+    };
+
+    const tellStepped = (): void => {
+        try {
+            options.stepped?.();
+        }
+        catch (err) {
+            // What is told to others is told again with the next step; the decisions go on.
+            const { message, stack } = err as Error;
+            log.log("internalFault", { message, stack });
+        }
+    };
+
     /**
      * Takes every event that has come since the last turn, so that one sync serves all of them. The writes go first and in
      * order: that only makes a promise durable earlier than it is given.
@@ -155,7 +179,7 @@
     const turn = async (): Promise<void> => {
         const events = queue;
         queue = [];
-        const actions = events.flatMap(event => node.step(event, clock()));
+        const actions = decide(events);
         const writes = actions.filter(isWrite);
         if (writes.length > 0) {
             writingSince = clock();
@@ -174,7 +198,7 @@
         for (const action of actions) {
             perform(action);
         }
-        options.stepped?.();
+        tellStepped();
     };
 
     const system = start();
