Wait for all three hosts to vote before one is lost in the process tests

Cause: a host that says that it is fresh and stands still before it hears the others' answers finds them started, and so takes its own disk for a lost one. Until the leader has taken it in, two disks vote, and the test struck one of these. Shown by stopping the third host 0 to 184 ms after its start, in steps of 8 ms: it was still 'recovering' after ten accepted changes in 1 of 24 trials (stopped after 128 ms). Ruled out: a late third host (0, 300, 1000, 2500 ms): the first start waits for all three, so nothing is accepted without it. Change: the test waits until every host votes and holds the changes; its bounds stay. The commit of a change by two of three stays right.

--- a/packages/state/src/test/state-processes_test.ts
+++ b/packages/state/src/test/state-processes_test.ts
@@ -80,6 +80,8 @@
     for (const { name, strike, mend } of blows) {
         it(`keeps every accepted change when the leader ${name}`, async () => {
             const before = await applyMany(hosts, "before", 10, noVersion);
+            // Two hosts accept changes while the third is still joining; a loss is tolerated once all three vote.
+            await Promise.all(hosts.hostIds.map(hostId => reaches(hosts, hostId, before)));
             const leader = await hosts.leader();
             await strike(hosts, leader);
             const others = hosts.hostIds.filter(hostId => hostId !== leader);
