Try pre-votes again soon, and let one of several candidates go on

Cause: after a power cut state hosts start 0 to 0.5 s apart and their links are not open yet, so first pre-votes are lost, or votes split; the next try came after 0.8 to 1.6 s. Change: a pre-vote is repeated after 160 to 320 ms, a vote after 320 to 640 ms; of hosts that try at the same time the first by name goes on, and one that has not tried waits once for the other.

--- a/packages/core/src/lib/consensus/election.ts
+++ b/packages/core/src/lib/consensus/election.ts
@@ -27,17 +27,27 @@
 
 /** The first election after a start begins within this share to half of an election's time. */
 const firstTryShare = 0.1;
+/**
+ * A try without a majority is made again within this to twice this share of an election's time. A pre-vote disturbs nobody;
+ * votes that were split between candidates come back in a round trip, a tenth of an election's time.
+ */
+const retryShare = { preVote: 0.2, vote: 0.4 } as const;
 
 /** Creates the elections of one host. */
 export const createElection = (ctx: NodeContext, hooks: ElectionHooks): Election => {
     let granted = new Map<string, number>();
     let preVoting = false;
     let deadline: number | undefined;
+    let hasDeferred = false;
 
     const postpone = (): void => {
         deadline = ctx.now + ctx.timing.electionMs * (1 + ctx.random.next());
     };
 
+    const tryAgainLater = (share: number): void => {
+        deadline = ctx.now + ctx.timing.electionMs * share * (1 + ctx.random.next());
+    };
+
     const follow = (term: number, leaderId: string | undefined): void => {
         const led = ctx.role === StateRole.Leader;
         if (term > ctx.hard.term) {
@@ -84,7 +94,7 @@
         ctx.leaderId = undefined;
         ctx.saveHard({ term: ctx.hard.term + 1, votedFor: ctx.hostId });
         granted = new Map([[ctx.hostId, ctx.hard.incarnation]]);
-        postpone();
+        tryAgainLater(retryShare.vote);
         ask(false, transfer);
         if (countsAsWon()) {
             win();
@@ -93,10 +103,11 @@
 
     const preVote = (): void => {
         preVoting = true;
+        hasDeferred = false;
         ctx.role = StateRole.Candidate;
         ctx.leaderId = undefined;
         granted = new Map([[ctx.hostId, ctx.hard.incarnation]]);
-        postpone();
+        tryAgainLater(retryShare.preVote);
         ask(true, false);
         if (countsAsWon()) {
             stand(false);
@@ -137,13 +148,36 @@
         });
     };
 
+    /**
+     * Of hosts that try at the same time one goes on, so that votes are not split: the first by name. A host that has not
+     * tried yet waits once for the other's outcome; only once, because that one may send without hearing any reply.
+     */
+    const giveWay = (from: string): void => {
+        if (preVoting) {
+            if (from < ctx.hostId) {
+                preVoting = false;
+                ctx.role = passiveRole(ctx);
+                tryAgainLater(retryShare.preVote);
+            }
+            return;
+        }
+        if (!hasDeferred) {
+            hasDeferred = true;
+            tryAgainLater(retryShare.preVote);
+        }
+    };
+
     const receiveVote = (from: string, message: VoteMessage): void => {
         if (ctx.hard.founding || message.term < ctx.hard.term || (!message.transfer && keepsLeader())) {
             answer(from, message, false);
             return;
         }
         if (message.preVote) {
-            answer(from, message, message.term > ctx.hard.term && isUpToDate(message));
+            const grants = message.term > ctx.hard.term && isUpToDate(message);
+            if (grants) {
+                giveWay(from);
+            }
+            answer(from, message, grants);
             return;
         }
         if (message.term > ctx.hard.term) {
--- a/packages/core/src/test/voters_test.ts
+++ b/packages/core/src/test/voters_test.ts
@@ -12,6 +12,8 @@
 import type { HardState, LogEntry, NodeAction, NodeEvent, Snapshot, StateNode, StateReply, StateRequest } from "../index.js";
 
 const tickMs = 50;
+/** Messages from and to a host that has just started are lost for this long: its connections are not open yet. */
+const linkMs = 150;
 
 interface Disk {
     hardState: HardState;
@@ -22,6 +24,7 @@
 interface Host {
     node: StateNode;
     disk: Disk;
+    startedAt: number;
 }
 
 /** State hosts that find each other from the same seeds, in fake time. */
@@ -46,6 +49,8 @@
     let now = 0;
     let requestId = 0;
 
+    const isLinked = (hostId: string): boolean => now - (hosts.get(hostId)?.startedAt ?? now) >= linkMs;
+
     const perform = (hostId: string, disk: Disk, action: NodeAction): void => {
         switch (action.kind) {
             case NodeActionKind.SaveHardState:
@@ -62,6 +67,9 @@
                 disk.entries = [...action.entries];
                 break;
             case NodeActionKind.Send:
+                if (!isLinked(hostId) || !isLinked(action.to)) {
+                    break;
+                }
                 inFlight.push({
                     to: action.to,
                     event: { kind: NodeEventKind.Message, from: hostId, message: structuredClone(action.message) },
@@ -91,7 +99,7 @@
             timing: { heartbeatMs: 200, electionMs: 800, requestMs: 3000 },
             replacement: { minVoters: 3, absentMs: 8000 },
         });
-        hosts.set(hostId, { node, disk });
+        hosts.set(hostId, { node, disk, startedAt: now });
     };
 
     const emptyDisk = (founding: boolean): Disk => ({
@@ -209,3 +217,35 @@
         });
     }
 });
+
+describe("state hosts after a power cut", () => {
+    const hostIds = ["a", "b", "c", "d", "e"];
+    const electionMs = 800;
+    const cases: [name: string, startsAtMs: number[]][] = [
+        ["all at once", [0, 0, 0, 0, 0]],
+        ["two of them early", [0, 50, 350, 400, 450]],
+        ["one after another", [0, 150, 300, 450, 600]],
+    ];
+    for (const [name, startsAtMs] of cases) {
+        it(`elect a leader within one election's time of a majority when they start ${name}`, () => {
+            const late: string[] = [];
+            for (let seed = 1; seed <= 200; seed += 1) {
+                const fleet = createFleet(hostIds, seed);
+                hostIds.forEach(hostId => fleet.add(hostId, true));
+                fleet.run(4000);
+                hostIds.forEach(hostId => fleet.stop(hostId));
+                fleet.run(1000);
+                let elapsedMs = 0;
+                while (elapsedMs - startsAtMs[2]! < electionMs && fleet.leader() === undefined) {
+                    hostIds.filter((_, index) => startsAtMs[index] === elapsedMs).forEach(hostId => fleet.restart(hostId, false));
+                    fleet.run(tickMs);
+                    elapsedMs += tickMs;
+                }
+                if (fleet.leader() === undefined) {
+                    late.push(`seed ${seed}`);
+                }
+            }
+            expect(late).to.deep.equal([]);
+        });
+    }
+});
