--- a/packages/core/src/lib/gateway/choice-weights.ts
+++ b/packages/core/src/lib/gateway/choice-weights.ts
@@ -35,8 +35,8 @@
 /** The weights that are used. */
 export const defaultChoiceWeights: ChoiceWeights = {
     zone: 0,
-    region: 0.04,
-    elsewhere: 0.06,
+    region: 0.05,
+    elsewhere: 0.12,
     failure: { [Repeatability.Repeatable]: 0.4, [Repeatability.AtMostOnce]: 1 },
     soundEnough: 0.02,
     load: 0.02,
