Try idle servers by requests that may be repeated, also in calm times

In its largest zone 6 of 11 servers of a service had got nothing but a trial for 12 s (front logs): a server that failed once counts as 0.15 likely to fail when nothing more is heard, those in use as less than 0.02, so few carry the service for good. Ruled out: new servers left idle (joined at 21.8 to 23.2 s, not among the idle ones), zones without callers. Change: a server of the own zone that was idle for 1.6 s is tried by a request that may be repeated; others still only in trouble. Test: 'in calm times' in server-pool_test (failed first).

--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -8,7 +8,7 @@
 import { ServingState } from "../fleet/facts.js";
 import type { FleetServer } from "../fleet/facts.js";
 import { defaultChoiceWeights } from "./choice-weights.js";
-import type { Repeatability } from "./gateway-config.js";
+import { Repeatability } from "./gateway-config.js";
 import { beliefAt, Sign, unknownBelief, updateBelief } from "./server-belief.js";
 import type { Belief } from "./server-belief.js";
 import type { Choice, ServerPool, ServerPoolCfg, ServerReport } from "./server-pool-contract.js";
@@ -150,8 +150,9 @@
     };
 
     /**
-     * While a service fails many requests, few servers carry it and those left out may have recovered, so each that has
-     * been idle for a while is tried.
+     * Servers without news look worse than those in use, so few come to carry a service. Those left out may have recovered:
+     * each that has been idle for a while is tried, by requests that may be repeated, and by others while the service fails
+     * many.
      */
     const deservesTrial = (member: Member, now: number): boolean =>
         member.record.availabilityZone === availabilityZone && !member.record.silent
@@ -175,14 +176,14 @@
         now: number,
     ): Choice | undefined => {
         const usualShare = noteUsualLoad(service, now);
-        const isTroubled = trouble.isTroubled(service, now);
+        const mayTry = repeatability === Repeatability.Repeatable || trouble.isTroubled(service, now);
         let best: Member | undefined;
         let bestCost = Infinity;
         for (const member of byService.get(service) ?? []) {
             if (!isUsable(member, excluded)) {
                 continue;
             }
-            const isTrial = isNew(member) || (isTroubled && deservesTrial(member, now));
+            const isTrial = isNew(member) || (mayTry && deservesTrial(member, now));
             const cost = costOf(member, repeatability, usualShare, now) - (isTrial ? weights.trial : 0);
             if (cost < bestCost) {
                 best = member;
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -148,6 +148,32 @@
         expect(firstUse(Repeatable)).to.be.below(firstUse(AtMostOnce));
     });
 
+    describe("in calm times", () => {
+        /** Requests that each of eight servers of the own zone gets while 30 come a second for 4 s, after half of them failed once. */
+        const spread = (repeatability: Repeatability): number[] => {
+            const pool = createPool(Array.from({ length: 8 }, (_, index) => server(index + 1, "a1")));
+            for (let number = 5; number <= 8; number += 1) {
+                pool.ended(number, Sign.Failure, 0);
+            }
+            const counts = Array<number>(8).fill(0);
+            for (let now = 4000; now < 8000; now += 33) {
+                const number = chosen(pool, now, repeatability)!;
+                counts[number - 1]! += 1;
+                pool.began(number, now);
+                pool.ended(number, Sign.Success, now);
+            }
+            return counts;
+        };
+
+        it("gives every server that has recovered requests that may be repeated", () => {
+            expect(Math.min(...spread(Repeatable))).to.be.above(0);
+        });
+
+        it("keeps requests that must run once from servers without news", () => {
+            expect(spread(AtMostOnce).slice(4)).to.deep.equal([0, 0, 0, 0]);
+        });
+    });
+
     describe("while a service fails more than a tenth of its requests", () => {
         const fail = (pool: ServerPool, share: number): void => {
             for (let count = 0; count < 40; count += 1) {
