Log why an entry host tries another state host

Until now an entry host that left a state host by its own decision logged nothing: the old link was replaced before its close was handled, so the log showed only the next attachment.

A difference that does not fit the configuration on the host was dropped without a line; it is logged now (updateUnusable, CP2018).

--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -156,7 +156,13 @@
     type Handlers = { [K in LinkMessageKind]?: (message: Extract<LinkMessage, { k: K; }>) => void; };
     const handlers: Handlers = {
         [LinkMessageKind.Config]: message => applyConfig(message.config),
-        [LinkMessageKind.ConfigDelta]: message => applyConfig(applyDelta(config, message.delta)),
+        [LinkMessageKind.ConfigDelta]: ({ delta }) => {
+            const newConfig = applyDelta(config, delta);
+            if (newConfig === undefined) {
+                log.log("updateUnusable", { number: delta.number, baseNumber: delta.baseNumber, heldNumber: config?.number });
+            }
+            applyConfig(newConfig);
+        },
         [LinkMessageKind.Servers]: message => applyServers(message.rows, message.revision),
         [LinkMessageKind.Contacts]: message => retryBudget.setHostCount(message.entryHosts),
         [LinkMessageKind.RelayedReports]: message => {
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -137,8 +137,10 @@
     };
 
     const checkAttachment = (): void => {
+        const attachedAddress = hostSelector.currentAddress();
         const address = hostSelector.nextAddress(clock());
         if (address !== undefined) {
+            log.log("stateHostTried", { address, attachedAddress, viewAgeMs: roundedViewAgeMs() });
             attach(address);
         }
         logFreshnessChange();
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -96,6 +96,12 @@
     ),
     viewFresh: info("CP2015", "A majority of the state hosts confirms this host's view again."),
     configurationInForce: info("CP2016", "A newer published configuration is in force on this host."),
+    stateHostTried: info("CP2017", "This entry host tries another state host; the fields show what it knew when it decided."),
+    updateUnusable: warn(
+        "CP2018",
+        "An update of the configuration was based on another configuration than the one on this host.",
+        "Report it with the log lines of this entry host and of the state host.",
+    ),
     serverJoined: info("CP3001", "A backend server announced itself."),
     serverLeft: info("CP3002", "A backend server left or its lease expired."),
     serverEjected: warn(
