--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
 };
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "eslint.config.mjs", "platform/bundle.mjs", "target/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", ".mocharc.cjs", "eslint.config.mjs", "platform/bundle.mjs", "target/**"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
