Ask state hosts for the age of their view before moving to them

What callers saw: while some state hosts had no majority or could not be reached, requests were handled by an older configuration well after the 2.5 s within which an acknowledged change must be in force.

Cause: an entry host left its state host in order to find out whether another one was up to date. Each try cost 1.2 s, near state hosts came first, and one that had failed was tried again after 3 s, also from a state host that was up to date. With three availability zones in a region that adds up to more than the bound, and with four of nine state hosts cut off the search may go round among them for good.

Fix: an entry host opens links to other state hosts beside its own, asks for the age of their view (ViewQuery), and moves only to one that is up to date. Parts of a long message hold an entry host on its state host only while that one reports to be up to date.

Changed tests of the selector: a state host becomes the current one with its answer, so two tests now give that answer; what they check is the same. Upgrade state hosts first: earlier ones close the link of a ViewQuery.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -28,7 +28,7 @@
 import type { Link } from "@cassiapick/wire";
 import { ControlOutcome } from "./control-contract.js";
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
-import { createEntryLinks } from "./entry-links.js";
+import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
 import { createPeerLinks } from "./peer-links.js";
 
@@ -199,6 +199,7 @@
                 scheduleAck(link);
             }
         },
+        [LinkMessageKind.ViewQuery]: link => link.send(viewAgeMessage(sendableViewAgeMs())),
         [LinkMessageKind.EntryHello]: attachEntryHost,
         [LinkMessageKind.Phase]: (link, { phase }) => recordEntryHost(entryLinks.setPhase(link, phase)),
         [LinkMessageKind.Report]: (link, { r }) => {
@@ -210,7 +211,10 @@
         [LinkMessageKind.RemoteOutcomes]: (_link, { r }) => entryLinks.relayOutcomes(r),
     };
 
-    const sendViewAge = (): void => entryLinks.sendViewAge(driver.viewAgeMs());
+    /** The age of the view that entry hosts can be sent; `Infinity` while there is none. */
+    const sendableViewAgeMs = (): number => driver.fleet() === undefined ? Infinity : driver.viewAgeMs();
+
+    const sendViewAge = (): void => entryLinks.sendViewAge(sendableViewAgeMs());
 
     const relayReports = (): void => {
         const outcomes = entryLinks.relayReports();
@@ -247,7 +251,7 @@
     });
     const closeSilentEntryLinks = (): void => {
         for (const [link, receivedAt] of lastReceivedAt) {
-            if (entryLinks.hostOf(link) !== undefined && clock() - receivedAt > entryHostTimeoutMs) {
+            if (!peerIds.has(link) && clock() - receivedAt > entryHostTimeoutMs) {
                 link.close();
             }
         }
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -63,6 +63,12 @@
 /** Time for a host to move to a nearer state host, in milliseconds: a round trip, its next check and connection setup. */
 const moveTimeoutMs = 350;
 
+/** Creates the message with the age of a view, in milliseconds; `Infinity` if no majority confirms it. */
+export const viewAgeMessage = (ageMs: number): LinkMessage => ({
+    k: LinkMessageKind.ViewAge,
+    ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+});
+
 /** Creates the empty set of a state host in `availabilityZone`. */
 export const createEntryLinks = (availabilityZone: string): EntryLinks => {
     const attachedHosts = new Map<Link, AttachedHost>();
@@ -180,7 +186,7 @@
             return isStillAttached ? undefined : attachedHost.host;
         },
         sendUpdates,
-        sendViewAge: ageMs => broadcast({ k: LinkMessageKind.ViewAge, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1 }),
+        sendViewAge: ageMs => broadcast(viewAgeMessage(ageMs)),
         addReports: (link, rows) => {
             attachedHosts.get(link)?.pendingReports.push(...rows);
         },
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -36,8 +36,10 @@
     Servers = "S",
     /** The state hosts that accept entry hosts, and the number of entry hosts. */
     Contacts = "H",
-    /** Upper bound of the age of the sender's view. */
+    /** Upper bound of the age of the sender's view; on the link of an attached entry host, of what it was sent before. */
     ViewAge = "V",
+    /** An entry host that is not attached asks for the age of the receiver's view. */
+    ViewQuery = "Q",
 }
 
 /** A server's record without the fields that only state hosts use. */
@@ -88,7 +90,8 @@
     | { k: LinkMessageKind.Servers; rows: ServerRow[]; revision: number; }
     | { k: LinkMessageKind.Contacts; contacts: StateHostContact[]; entryHosts: number; }
     /** `ageMs` is in milliseconds, and negative while no majority confirms the sender's view. */
-    | { k: LinkMessageKind.ViewAge; ageMs: number; };
+    | { k: LinkMessageKind.ViewAge; ageMs: number; }
+    | { k: LinkMessageKind.ViewQuery; };
 
 const linkMessageKinds: ReadonlySet<unknown> = new Set(Object.values(LinkMessageKind));
 
--- a/packages/core/src/test/state-host-selector_test.ts
+++ b/packages/core/src/test/state-host-selector_test.ts
@@ -69,6 +69,7 @@
         const selector = create([]);
         selector.setContacts(contacts);
         selector.nextAddress(0);
+        selector.viewConfirmed("local:1", 0, 0);
         for (let now = 50; now < 4000; now += 50) {
             selector.partReceived("local:1", now);
             expect(selector.nextAddress(now)).to.equal(undefined);
@@ -77,6 +78,38 @@
         expect(selector.nextAddress(4600)).to.equal("region:1");
     });
 
+    // Reports of other hosts that arrive in parts would otherwise hold an entry host on a state host without a majority.
+    it("does not stay for parts of messages from a state host that reports an old view", () => {
+        const selector = create([]);
+        selector.setContacts(contacts);
+        selector.nextAddress(0);
+        selector.viewConfirmed("local:1", 0, 0);
+        selector.viewConfirmed("local:1", 0, 10);
+        let askedAt = Infinity;
+        for (let now = 50; now < 4000 && askedAt === Infinity; now += 50) {
+            selector.partReceived("local:1", now);
+            selector.viewConfirmed("local:1", now, now);
+            askedAt = selector.nextAddress(now) === undefined ? Infinity : now;
+        }
+        expect(askedAt).to.be.at.most(1300);
+    });
+
+    it("keeps its state host and its view while a nearer one is out of date", () => {
+        const selector = create();
+        selector.nextAddress(0);
+        selector.viewConfirmed("seed:1", 50, 50);
+        selector.setContacts([...contacts, { address: "seed:1", availabilityZone: "b1", region: "b" }]);
+        for (let now = 100; now < 20_000; now += 100) {
+            selector.viewConfirmed("seed:1", 50, now);
+            const next = selector.nextAddress(now);
+            if (next !== undefined) {
+                selector.viewConfirmed(next, Infinity, now);
+            }
+            expect(selector.currentAddress()).to.equal("seed:1");
+            expect(selector.viewAgeMs(now)).to.be.at.most(50);
+        }
+    });
+
     it("tries the next state host soon after a connection failure, and avoids those that failed", () => {
         const selector = create([]);
         selector.setContacts(contacts);
@@ -92,6 +125,7 @@
     it("moves to the nearest state host once locations are known, and then stays", () => {
         const selector = create();
         selector.nextAddress(0);
+        selector.viewConfirmed("seed:1", 50, 50);
         selector.setContacts([...contacts, { address: "seed:1", availabilityZone: "b1", region: "b" }]);
         const moves: string[] = [];
         for (let now = 100; now < 8000; now += 100) {
@@ -99,9 +133,11 @@
             const next = selector.nextAddress(now);
             if (next !== undefined) {
                 moves.push(next);
+                selector.viewConfirmed(next, 50, now);
             }
         }
         expect(moves).to.deep.equal(["local:1"]);
+        expect(selector.currentAddress()).to.equal("local:1");
     });
 
     it("uses new seeds when all known state hosts are unreachable", () => {
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -37,6 +37,8 @@
 }
 
 const connectTimeoutMs = 600;
+/** A state host that was asked for the age of its view has this long to connect and to answer. */
+const answerTimeoutMs = 700;
 /** Longer than the interval at which a state host sends the age of its view, in milliseconds. */
 const silenceMs = 1300;
 const checkIntervalMs = 100;
@@ -47,30 +49,76 @@
 /** A view older than this is logged as stale, in milliseconds. */
 const staleViewMs = 2000;
 
+/** An open link to a state host that was asked for the age of its view. */
+interface AskedHost {
+    link: Link;
+    askedAt: number;
+}
+
 /** Creates the attachment; it connects and reconnects to state hosts until it is closed. */
 export const createStateLink = (options: StateLinkOptions): StateLink => {
     const { clock, log } = options;
     const hostSelector = createStateHostSelector(options);
-    let link: Link | undefined;
-    let isOpen = false;
+    /** The link of the state host that this host is attached to. */
+    let attachedLink: Link | undefined;
+    const askedHosts = new Map<string, AskedHost>();
     let lastSentAt = 0;
     let isStale = true;
 
     const send = (message: LinkMessage): void => {
-        if (isOpen && link !== undefined) {
-            link.send(message);
+        if (attachedLink !== undefined) {
+            attachedLink.send(message);
             lastSentAt = clock();
         }
     };
 
-    const receive = (address: string, message: unknown): void => {
+    /** Attaches to a state host that was asked, and leaves the previous one. */
+    const attach = (address: string, link: Link): void => {
+        const previousLink = attachedLink;
+        attachedLink = link;
+        if (previousLink !== undefined) {
+            options.onDetached();
+            previousLink.close();
+        }
+        const hello = options.hello();
+        log.log("stateHostAttached", {
+            address,
+            configNumber: hello.configNumber,
+            serversRevision: hello.serversRevision,
+        });
+        send(hello);
+    };
+
+    /** Handles the answer of a state host that was asked: attaches to it if it was selected, and closes the link otherwise. */
+    const receiveAnswer = (address: string, link: Link, ageMs: number): void => {
+        askedHosts.delete(address);
+        hostSelector.viewConfirmed(address, ageMs, clock());
+        if (hostSelector.currentAddress() === address) {
+            attach(address, link);
+        }
+        else {
+            link.close();
+        }
+    };
+
+    const receive = (address: string, link: Link, message: unknown): void => {
         if (!isLinkMessage(message)) {
             log.log("peerRejected", { reason: "This version does not support the kind of the message.", address });
-            link?.close();
+            link.close();
             return;
         }
+        const isAttached = link === attachedLink;
         if (message.k === LinkMessageKind.ViewAge) {
-            hostSelector.viewConfirmed(address, message.ageMs < 0 ? Infinity : message.ageMs, clock());
+            const ageMs = message.ageMs < 0 ? Infinity : message.ageMs;
+            if (isAttached) {
+                hostSelector.viewConfirmed(address, ageMs, clock());
+            }
+            else if (askedHosts.get(address)?.link === link) {
+                receiveAnswer(address, link, ageMs);
+            }
+            return;
+        }
+        if (!isAttached) {
             return;
         }
         if (message.k === LinkMessageKind.Contacts) {
@@ -79,45 +127,40 @@
         options.receive(message);
     };
 
-    const attach = (address: string): void => {
-        link?.close();
-        isOpen = false;
+    const ask = (address: string): void => {
         const { host, port } = splitAddress(address);
-        link = openLink({ host, port, localAddress: options.localAddress, connectTimeoutMs, receiveTimeoutMs: silenceMs }, {
-            onOpen: opened => {
-                if (opened !== link) {
-                    return;
-                }
-                isOpen = true;
-                const hello = options.hello();
-                log.log("stateHostAttached", {
-                    address,
-                    configNumber: hello.configNumber,
-                    serversRevision: hello.serversRevision,
-                });
-                send(hello);
-            },
-            onMessage: (from, message) => {
-                if (from === link) {
-                    receive(address, message);
-                }
-            },
+        const link = openLink({ host, port, localAddress: options.localAddress, connectTimeoutMs, receiveTimeoutMs: silenceMs }, {
+            onOpen: opened => opened.send({ k: LinkMessageKind.ViewQuery } satisfies LinkMessage),
+            onMessage: (from, message) => receive(address, from, message),
             onPartReceived: from => {
-                if (from === link) {
+                if (from === attachedLink) {
                     hostSelector.partReceived(address, clock());
                 }
             },
             onClose: (closed, reason) => {
-                if (closed !== link) {
+                if (closed === attachedLink) {
+                    attachedLink = undefined;
+                    options.onDetached();
+                }
+                else if (askedHosts.get(address)?.link === closed) {
+                    askedHosts.delete(address);
+                }
+                else {
                     return;
                 }
-                link = undefined;
-                isOpen = false;
                 hostSelector.connectionLost(address, clock());
-                options.onDetached();
                 log.log("stateHostLost", { address, reason, viewAgeMs: roundedViewAgeMs() });
             },
         });
+        askedHosts.set(address, { link, askedAt: clock() });
+    };
+
+    const closeUnanswered = (): void => {
+        for (const { link, askedAt } of askedHosts.values()) {
+            if (clock() - askedAt > answerTimeoutMs) {
+                link.close();
+            }
+        }
     };
 
     const roundedViewAgeMs = (): number | undefined => {
@@ -137,17 +180,18 @@
     };
 
     const checkAttachment = (): void => {
+        closeUnanswered();
         const attachedAddress = hostSelector.currentAddress();
         const address = hostSelector.nextAddress(clock());
         if (address !== undefined) {
             log.log("stateHostTried", { address, attachedAddress, viewAgeMs: roundedViewAgeMs() });
-            attach(address);
+            ask(address);
         }
         logFreshnessChange();
     };
 
     const sendReports = (): void => {
-        if (!isOpen) {
+        if (attachedLink === undefined) {
             return;
         }
         const reports = options.drainReports();
@@ -171,9 +215,10 @@
             for (const timer of timers) {
                 clearInterval(timer);
             }
-            const closingLink = link;
-            link = undefined;
-            closingLink?.close();
+            const links = [attachedLink, ...[...askedHosts.values()].map(({ link }) => link)];
+            attachedLink = undefined;
+            askedHosts.clear();
+            links.forEach(link => link?.close());
         },
     };
 };
