Report the age of a view only for what an entry host was sent

What callers may see: 404 for a route that was added and acknowledged, right after the entry host attached to a state host.

Cause: a state host reported the age of its view before the updates on a new link, and also while it withheld them from a host that was expected to move. An entry host takes a recent age as proof that it holds every route.

Fix: updates go out before the age, and a host that was not sent the whole view gets a heartbeat in place of the age. The age no longer has to come first: the entry host has asked for it before it attaches.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -183,9 +183,8 @@
     const attachEntryHost = (link: Link, hello: EntryHello): void => {
         recordEntryHost(entryLinks.addHost(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
-        // The age of the view goes first, so that the host does not try other state hosts while a long update is arriving.
-        sendViewAge();
         sendUpdates();
+        sendViewAge();
     };
 
     // The fields of messages have short names on the wire: `k` is the kind, `m` a consensus message, `r` rows of reports.
@@ -259,7 +258,11 @@
 
     const timers = [
         setInterval(relayReports, relayIntervalMs),
-        setInterval(sendViewAge, viewAgeIntervalMs),
+        setInterval(() => {
+            // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
+            sendUpdates();
+            sendViewAge();
+        }, viewAgeIntervalMs),
         setInterval(() => {
             sendUpdates();
             closeSilentEntryLinks();
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -33,7 +33,10 @@
     removeHost(link: Link): HostAnnouncement | undefined;
     /** Sends each host the differences between `snapshot` and what it has received. */
     sendUpdates(snapshot: FleetSnapshot, now: number): void;
-    /** Sends the upper bound of the view's age to every host. */
+    /**
+     * Sends the upper bound of the view's age to the hosts that were sent the whole view. The others get a heartbeat, as what
+     * they hold may be older.
+     */
     sendViewAge(ageMs: number): void;
     /** Queues reports of an attached host. */
     addReports(link: Link, rows: readonly ReportRow[]): void;
@@ -54,6 +57,8 @@
     serversRevision: number;
     /** The contacts sent last, as JSON; "" before the first ones. */
     sentContacts: string;
+    /** Whether servers and configuration were sent up to the latest snapshot. */
+    isUpToDate: boolean;
     pendingReports: ReportRow[];
 }
 
@@ -105,7 +110,8 @@
                 link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
                 attachedHost.sentContacts = contactsText;
             }
-            if (isExpectedToMove(attachedHost, contacts, now)) {
+            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, contacts, now);
+            if (!attachedHost.isUpToDate) {
                 continue;
             }
             // A host runs waiting requests as soon as it has a configuration, so the servers are sent first.
@@ -161,6 +167,7 @@
                 configNumber,
                 serversRevision,
                 sentContacts: "",
+                isUpToDate: false,
                 pendingReports: [],
             });
             nextKey += 1;
@@ -186,7 +193,13 @@
             return isStillAttached ? undefined : attachedHost.host;
         },
         sendUpdates,
-        sendViewAge: ageMs => broadcast(viewAgeMessage(ageMs)),
+        sendViewAge: ageMs => {
+            const viewAge = encodeCompactFrame(viewAgeMessage(ageMs));
+            const heartbeat = encodeCompactFrame({ k: LinkMessageKind.Heartbeat } satisfies LinkMessage);
+            for (const [link, { isUpToDate }] of attachedHosts) {
+                link.sendFrame(isUpToDate ? viewAge : heartbeat);
+            }
+        },
         addReports: (link, rows) => {
             attachedHosts.get(link)?.pendingReports.push(...rows);
         },
--- a/packages/control/src/test/entry-links_test.ts
+++ b/packages/control/src/test/entry-links_test.ts
@@ -7,10 +7,11 @@
     ServerAnnouncement,
     StateHostContact,
 } from "@cassiapick/core";
+import { createFrameReader } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { expect } from "chai";
 import { createEntryLinks } from "../lib/entry-links.js";
-import type { FleetSnapshot } from "../lib/entry-links.js";
+import type { EntryLinks, FleetSnapshot } from "../lib/entry-links.js";
 
 const fleetWithServer = (): FleetMachine => {
     const fleet = createFleetMachine(emptyFleetState);
@@ -50,27 +51,33 @@
 const localContact: StateHostContact = { address: "10.0.0.2:80", availabilityZone: "z1", region: "r1" };
 const remoteContact: StateHostContact = { address: "10.0.0.3:80", availabilityZone: "z2", region: "r1" };
 
-/** Returns the kinds of the messages that a state host in zone z2 sends to a host in z1, with updates at `times`. */
-const sentKinds = (contacts: StateHostContact[], times: readonly number[]): LinkMessageKind[] => {
+/** Returns the kinds of the messages that a state host in zone z2 sends to a host in z1 while `run` is called. */
+const sentKinds = (
+    contacts: StateHostContact[],
+    run: (links: EntryLinks, snapshot: FleetSnapshot) => void,
+): LinkMessageKind[] => {
     const sent: LinkMessage[] = [];
     const link: Link = {
         send: message => {
             sent.push(message as LinkMessage);
         },
-        sendFrame: () => undefined,
+        sendFrame: frame => {
+            const decoded = createFrameReader().push(frame);
+            sent.push(...(decoded.ok ? decoded.values as LinkMessage[] : []));
+        },
         close: () => undefined,
     };
     const links = createEntryLinks("z2");
-    const snapshot: FleetSnapshot = { fleet: fleetWithServer(), config, contacts, entryHosts: 1 };
     links.addHost(link, hello, 0);
-    for (const now of times) {
-        links.sendUpdates(snapshot, now);
-    }
+    run(links, { fleet: fleetWithServer(), config, contacts, entryHosts: 1 });
     return sent.map(message => message.k);
 };
 
+const updateAt = (times: readonly number[]) => (links: EntryLinks, snapshot: FleetSnapshot): void =>
+    times.forEach(now => links.sendUpdates(snapshot, now));
+
 describe("entry links", () => {
-    const { Contacts, Servers, Config } = LinkMessageKind;
+    const { Contacts, Servers, Config, Heartbeat, ViewAge } = LinkMessageKind;
     const cases: [name: string, contacts: StateHostContact[], times: number[], expected: LinkMessageKind[]][] = [
         // An entry host runs waiting requests as soon as it has a configuration.
         ["sends servers before the configuration that routes to them", [remoteContact], [0], [Contacts, Servers, Config]],
@@ -85,7 +92,28 @@
     ];
     for (const [name, contacts, times, expected] of cases) {
         it(name, () => {
-            expect(sentKinds(contacts, times)).to.deep.equal(expected);
+            expect(sentKinds(contacts, updateAt(times))).to.deep.equal(expected);
+        });
+    }
+
+    // An entry host with a recent view answers 404 for a route that it does not know, so it must hold what the view covers.
+    const ageCases: [name: string, contacts: StateHostContact[], updatedAt: number[], expected: LinkMessageKind[]][] = [
+        ["reports no age of the view before the first update", [remoteContact], [], [Heartbeat]],
+        ["reports no age of the view while updates are withheld", [localContact, remoteContact], [0], [Contacts, Heartbeat]],
+        ["reports the age of the view after the updates that it covers", [remoteContact], [0], [
+            Contacts,
+            Servers,
+            Config,
+            ViewAge,
+        ]],
+    ];
+    for (const [name, contacts, updatedAt, expected] of ageCases) {
+        it(name, () => {
+            const kinds = sentKinds(contacts, (links, snapshot) => {
+                updateAt(updatedAt)(links, snapshot);
+                links.sendViewAge(50);
+            });
+            expect(kinds).to.deep.equal(expected);
         });
     }
 });
