Derive the age of a view from what is applied

What callers may see: an older configuration, or 404 for a new route, while their entry host reports a recent view.

Cause: a follower took every message of its leader as confirmation of its own view, also while its log lacked entries that the leader had committed, and a new leader took its election as confirmation before it knew what the previous one had committed.

Fix: a follower's view is confirmed by a message only if it then holds all that the leader had committed; a leader reports no confirmation until an entry of its own term is committed.

--- a/packages/core/src/lib/consensus/follower.ts
+++ b/packages/core/src/lib/consensus/follower.ts
@@ -26,7 +26,7 @@
     };
 
     /** Whether the sender leads the current term. A leader of an older term receives a rejection with the current term. */
-    const acceptLeader = (from: string, term: number, round: number, quorumAgeMs: number): boolean => {
+    const acceptLeader = (from: string, term: number, round: number): boolean => {
         if (ctx.hardState.founding) {
             return false;
         }
@@ -36,7 +36,6 @@
         }
         election.becomeFollower(term, from);
         ctx.leaderLastReceivedAt = ctx.now;
-        ctx.leaderQuorumAgeMs = quorumAgeMs;
         return true;
     };
 
@@ -79,7 +78,7 @@
     };
 
     const receiveAppend = (from: string, message: AppendMessage): void => {
-        if (!acceptLeader(from, message.term, message.round, message.quorumAgeMs)) {
+        if (!acceptLeader(from, message.term, message.round)) {
             return;
         }
         if (message.previousIndex < ctx.log.baseIndex()) {
@@ -94,11 +93,15 @@
         const matchIndex = message.previousIndex + message.entries.length;
         // Entries after `matchIndex` may come from an older leader, so this message does not commit them.
         commitUpTo(Math.min(message.commitIndex, matchIndex));
+        // A host whose log is behind the leader's hears from it too, but what it has applied is older.
+        if (ctx.commitIndex >= message.commitIndex) {
+            ctx.viewConfirmedAt = Math.max(ctx.viewConfirmedAt, ctx.now - message.quorumAgeMs);
+        }
         sendAppendReply(from, message.round, true, matchIndex);
     };
 
     const receiveSnapshot = (from: string, message: InstallSnapshotMessage): void => {
-        if (!acceptLeader(from, message.term, message.round, 0)) {
+        if (!acceptLeader(from, message.term, message.round)) {
             return;
         }
         const { snapshot } = message;
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -68,8 +68,8 @@
     now: number;
     /** When the last message of the leader was received; `-Infinity` before the first. */
     leaderLastReceivedAt: number;
-    /** Age of the leader's last majority confirmation when it sent its last message, in milliseconds. */
-    leaderQuorumAgeMs: number;
+    /** A majority confirmed at this time that the applied state held all that was committed; `-Infinity` before the first time. */
+    viewConfirmedAt: number;
     /** Adds an action to the result of the current step. */
     emit(action: NodeAction): void;
     send(to: string, message: PeerMessage): void;
@@ -120,7 +120,7 @@
         appliedIndex: log.baseIndex(),
         now: 0,
         leaderLastReceivedAt: -Infinity,
-        leaderQuorumAgeMs: 0,
+        viewConfirmedAt: -Infinity,
         emit,
         send: (to, message) => emit({ kind: NodeActionKind.Send, to, message }),
         reply: (requestId, reply) => emit({ kind: NodeActionKind.Reply, requestId, reply }),
--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -46,7 +46,10 @@
     receiveReply(from: string, message: AppendReplyMessage): void;
     /** Handles the request of a host with a new disk to become a voter. */
     receiveJoin(from: string, incarnation: number): void;
-    /** Time since a majority last replied, in milliseconds. */
+    /**
+     * Time since a majority last replied, in milliseconds; `Infinity` until an entry of the current term is committed, as an
+     * earlier leader may have acknowledged entries that are not known to be committed before that.
+     */
     quorumAgeMs(): number;
     /** Starts a heartbeat round and returns its number; replies of a majority prove that this host led when it started. */
     startRound(): number;
@@ -76,7 +79,12 @@
     let nextHeartbeatAt = 0;
     let termStartIndex = 0;
 
+    const isCaughtUp = (): boolean => ctx.commitIndex >= termStartIndex;
+
     const quorumAgeMs = (): number => {
+        if (!isCaughtUp()) {
+            return Infinity;
+        }
         const receivedTimes = Object.entries(ctx.log.voters()).map(([hostId, incarnation]) => {
             if (hostId === ctx.hostId) {
                 return ctx.now;
@@ -165,8 +173,6 @@
         return entry.index;
     };
 
-    const isCaughtUp = (): boolean => ctx.commitIndex >= termStartIndex;
-
     /** One voter change at a time, and none before an entry of the current term is committed: any two quorums then overlap. */
     const mayChangeVoters = (): boolean => isCaughtUp() && ctx.log.lastVoterChangeIndex() <= ctx.commitIndex;
 
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -258,7 +258,7 @@
         if (ctx.role === StateRole.Leader) {
             return replication.quorumAgeMs() + now - ctx.now;
         }
-        return ctx.leaderId === undefined || !isCaughtUp() ? Infinity : now - ctx.leaderLastReceivedAt + ctx.leaderQuorumAgeMs;
+        return ctx.leaderId === undefined || !isCaughtUp() ? Infinity : now - ctx.viewConfirmedAt;
     };
 
     return {
--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -85,6 +85,32 @@
     expect(node.status().role).to.equal(StateRole.Leader);
 };
 
+describe("age of the view of a state node", () => {
+    const now = 5000;
+    const cases: [name: string, received: PeerMessage, isRecent: boolean][] = [
+        ["is recent when all that the leader has committed is applied", appendMessage(1, 1, 0, [noop(2, 1)], 2), true],
+        ["is not recent when the leader has committed entries that are missing", appendMessage(1, 1, 0, [noop(2, 1)], 7), false],
+        ["is not recent when the log does not match the leader's", appendMessage(1, 6, 1, [], 1), false],
+    ];
+    for (const [name, received, isRecent] of cases) {
+        // Guards against an entry host that takes an old configuration for the newest one.
+        it(name, () => {
+            const node = createNode(stored());
+            node.step(message("b", received), now);
+            expect(node.viewAgeMs(now) < 1000).to.equal(isRecent);
+        });
+    }
+
+    // The previous leader may have acknowledged an entry that the new one does not yet know to be committed.
+    it("is recent on a new leader only once an entry of its term is committed", () => {
+        const node = createNode(stored());
+        elect(node, 1);
+        expect(node.viewAgeMs(electionPassedMs)).to.equal(Infinity);
+        node.step(message("b", appendAccepted(1, 2)), electionPassedMs + 50);
+        expect(node.viewAgeMs(electionPassedMs + 60)).to.be.at.most(60);
+    });
+});
+
 describe("state node", () => {
     it("saves its vote before it replies, and grants no other vote in the same term", () => {
         const node = createNode(stored());
