Answer watches as unavailable on an isolated state host

What callers may see: routes and pools of an older version for as long as the state host that their entry host watches is cut off from the majority.

An isolated state host went on answering watches with 'unchanged', and a watch that is answered keeps its source.

Evidence: by reading after the incident, and the new case of state-node_test, which failed on the code before (no answer within 10 s).

Fix: a watch is answered as unavailable once no majority has confirmed the tables for 3 s, which is longer than an election; the entry host then asks the next state host or the relay.

--- a/packages/core/src/lib/consensus/request-replies.ts
+++ b/packages/core/src/lib/consensus/request-replies.ts
@@ -25,11 +25,11 @@
         + "then send the same request again; a change keeps its change id.",
 });
 
-/** Creates the reply of a restarted host that does not yet know which of its entries are committed. */
-export const catchingUpReply = (): StateReply => ({
+/** Creates the reply of a host whose tables no majority has confirmed, since its start or for a while. */
+export const unconfirmedReply = (): StateReply => ({
     kind: StateReplyKind.Unavailable,
     retryAfterMs,
-    message: "This state host has not caught up with a leader since it started. Ask another state host, or ask again later.",
+    message: "No majority of the state hosts confirms the tables of this state host. Ask another state host, or ask again later.",
 });
 
 /** Creates the reply of a host that is not the leader. */
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -134,7 +134,7 @@
     const follower = createFollower(ctx, election, applyCommitted);
     const bootstrap = createBootstrap(ctx, installBootstrapSnapshot);
     const requestHandler = createRequestHandler(ctx, replication, isActiveLeader);
-    const watchers = createWatchers(ctx, isCaughtUp);
+    const watchers = createWatchers(ctx, isCaughtUp, () => confirmationAgeMs(ctx.now));
 
     const status = (): StateStatus => ({
         hostId: ctx.hostId,
@@ -254,12 +254,11 @@
         return emitted;
     };
 
-    const viewAgeMs = (now: number): number => {
-        if (ctx.role === StateRole.Leader) {
-            return replication.quorumAgeMs() + now - ctx.now;
-        }
-        return ctx.leaderId === undefined || !isCaughtUp() ? Infinity : now - ctx.viewConfirmedAt;
-    };
+    /** Time since a majority last confirmed the applied view, whether or not there is a leader now. */
+    const confirmationAgeMs = (now: number): number =>
+        ctx.role === StateRole.Leader ? replication.quorumAgeMs() + now - ctx.now : now - ctx.viewConfirmedAt;
+
+    const viewAgeMs = (now: number): number => ctx.leaderId === undefined || !isCaughtUp() ? Infinity : confirmationAgeMs(now);
 
     return {
         step,
--- a/packages/core/src/lib/consensus/watchers.ts
+++ b/packages/core/src/lib/consensus/watchers.ts
@@ -4,10 +4,15 @@
 import { compareVersions } from "../tables.js";
 import type { Version } from "../tables.js";
 import type { NodeContext } from "./node-context.js";
-import { catchingUpReply } from "./request-replies.js";
+import { unconfirmedReply } from "./request-replies.js";
 
 /** Longest time that a watch is held open, in milliseconds. */
 const maxWatchMs = 60_000;
+/**
+ * Watches are answered as unavailable once no majority has confirmed the view for this long, in milliseconds: longer than an
+ * election, and short enough for a change to be in force everywhere within 4 s.
+ */
+const maxUnconfirmedMs = 3000;
 
 /** One open watch. */
 interface Watcher {
@@ -30,9 +35,9 @@
 
 /**
  * Creates the watches of one host; `isCaughtUp` returns whether its committed tables are at least as new as before its
- * start.
+ * start, and `viewAgeMs` the time since a majority confirmed them.
  */
-export const createWatchers = (ctx: NodeContext, isCaughtUp: () => boolean): Watchers => {
+export const createWatchers = (ctx: NodeContext, isCaughtUp: () => boolean, viewAgeMs: () => number): Watchers => {
     let watchers: Watcher[] = [];
 
     const hasNewer = (known: Version): boolean => {
@@ -40,8 +45,12 @@
         return isCaughtUp() && version.index > 0 && compareVersions(version, known) > 0;
     };
 
+    const isConfirmed = (): boolean => viewAgeMs() <= maxUnconfirmedMs;
+
     const unchangedReply = (): StateReply =>
-        isCaughtUp() ? { kind: StateReplyKind.Unchanged, version: ctx.machine.versioned().version } : catchingUpReply();
+        isCaughtUp() && isConfirmed()
+            ? { kind: StateReplyKind.Unchanged, version: ctx.machine.versioned().version }
+            : unconfirmedReply();
 
     const replyWhere = (predicate: (watcher: Watcher) => boolean, reply: () => StateReply): void => {
         const ready = watchers.filter(predicate);
@@ -69,7 +78,7 @@
         notifyNewer,
         tick: () => {
             notifyNewer();
-            replyWhere(watcher => ctx.now >= watcher.deadline, unchangedReply);
+            replyWhere(watcher => ctx.now >= watcher.deadline || (isCaughtUp() && !isConfirmed()), unchangedReply);
         },
         replyToAll: () => replyWhere(() => true, unchangedReply),
     };
--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -280,4 +280,19 @@
         const replies = sentReplies(node.step({ kind: NodeEventKind.Tick }, 1));
         expect(replies[0]).to.have.nested.property("reply.kind", StateReplyKind.Unavailable);
     });
+
+    // Guards against an entry host that keeps old tables because an isolated state host goes on answering its watches.
+    it("replies to open watches as unavailable once no majority has confirmed its view for 3 s", () => {
+        const node = createNode(stored());
+        node.step(message("b", appendMessage(1, 1, 0, [], 1)), 0);
+        const watch = { kind: StateRequestKind.Watch as const, known: noVersion, waitMs: 60_000, hostId: "entry" };
+        node.step({ kind: NodeEventKind.Request, requestId: 1, request: watch }, 100);
+        const repliedAt: number[] = [];
+        for (let now = 100; now < 10_000 && repliedAt.length === 0; now += 100) {
+            const actions = node.step({ kind: NodeEventKind.Tick }, now);
+            const replies = actions.filter(action => action.kind === NodeActionKind.Reply);
+            repliedAt.push(...replies.filter(({ reply }) => reply.kind === StateReplyKind.Unavailable).map(() => now));
+        }
+        expect(repliedAt[0]).to.be.within(2900, 3200);
+    });
 });
