--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -28,7 +28,7 @@
 import type { Link } from "@cassiapick/wire";
 import { ControlOutcome } from "./control-contract.js";
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
-import { createEntryLinks } from "./entry-links.js";
+import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
 import { createPeerLinks } from "./peer-links.js";
 
@@ -183,9 +183,8 @@
     const attachEntryHost = (link: Link, hello: EntryHello): void => {
         recordEntryHost(entryLinks.addHost(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
-        // The age of the view goes first, so that the host does not try other state hosts while a long update is arriving.
-        sendViewAge();
         sendUpdates();
+        sendViewAge();
     };
 
     // The fields of messages have short names on the wire: `k` is the kind, `m` a consensus message, `r` rows of reports.
@@ -199,6 +198,7 @@
                 scheduleAck(link);
             }
         },
+        [LinkMessageKind.ViewQuery]: link => link.send(viewAgeMessage(sendableViewAgeMs())),
         [LinkMessageKind.EntryHello]: attachEntryHost,
         [LinkMessageKind.Phase]: (link, { phase }) => recordEntryHost(entryLinks.setPhase(link, phase)),
         [LinkMessageKind.Report]: (link, { r }) => {
@@ -210,7 +210,10 @@
         [LinkMessageKind.RemoteOutcomes]: (_link, { r }) => entryLinks.relayOutcomes(r),
     };
 
-    const sendViewAge = (): void => entryLinks.sendViewAge(driver.viewAgeMs());
+    /** The age of the view that entry hosts can be sent; `Infinity` while there is none. */
+    const sendableViewAgeMs = (): number => driver.fleet() === undefined ? Infinity : driver.viewAgeMs();
+
+    const sendViewAge = (): void => entryLinks.sendViewAge(sendableViewAgeMs());
 
     const relayReports = (): void => {
         const outcomes = entryLinks.relayReports();
@@ -247,7 +250,7 @@
     });
     const closeSilentEntryLinks = (): void => {
         for (const [link, receivedAt] of lastReceivedAt) {
-            if (entryLinks.hostOf(link) !== undefined && clock() - receivedAt > entryHostTimeoutMs) {
+            if (!peerIds.has(link) && clock() - receivedAt > entryHostTimeoutMs) {
                 link.close();
             }
         }
@@ -255,7 +258,11 @@
 
     const timers = [
         setInterval(relayReports, relayIntervalMs),
-        setInterval(sendViewAge, viewAgeIntervalMs),
+        setInterval(() => {
+            // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
+            sendUpdates();
+            sendViewAge();
+        }, viewAgeIntervalMs),
         setInterval(() => {
             sendUpdates();
             closeSilentEntryLinks();
--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -85,6 +85,32 @@
     expect(node.status().role).to.equal(StateRole.Leader);
 };
 
+describe("age of the view of a state node", () => {
+    const now = 5000;
+    const cases: [name: string, received: PeerMessage, isRecent: boolean][] = [
+        ["is recent when all that the leader has committed is applied", appendMessage(1, 1, 0, [noop(2, 1)], 2), true],
+        ["is not recent when the leader has committed entries that are missing", appendMessage(1, 1, 0, [noop(2, 1)], 7), false],
+        ["is not recent when the log does not match the leader's", appendMessage(1, 6, 1, [], 1), false],
+    ];
+    for (const [name, received, isRecent] of cases) {
+        // Guards against an entry host that takes an old configuration for the newest one.
+        it(name, () => {
+            const node = createNode(stored());
+            node.step(message("b", received), now);
+            expect(node.viewAgeMs(now) < 1000).to.equal(isRecent);
+        });
+    }
+
+    // The previous leader may have acknowledged an entry that the new one does not yet know to be committed.
+    it("is recent on a new leader only once an entry of its term is committed", () => {
+        const node = createNode(stored());
+        elect(node, 1);
+        expect(node.viewAgeMs(electionPassedMs)).to.equal(Infinity);
+        node.step(message("b", appendAccepted(1, 2)), electionPassedMs + 50);
+        expect(node.viewAgeMs(electionPassedMs + 60)).to.be.at.most(60);
+    });
+});
+
 describe("state node", () => {
     it("saves its vote before it replies, and grants no other vote in the same term", () => {
         const node = createNode(stored());
@@ -254,4 +280,19 @@
         const replies = sentReplies(node.step({ kind: NodeEventKind.Tick }, 1));
         expect(replies[0]).to.have.nested.property("reply.kind", StateReplyKind.Unavailable);
     });
+
+    // Guards against an entry host that keeps old tables because an isolated state host goes on answering its watches.
+    it("replies to open watches as unavailable once no majority has confirmed its view for 3 s", () => {
+        const node = createNode(stored());
+        node.step(message("b", appendMessage(1, 1, 0, [], 1)), 0);
+        const watch = { kind: StateRequestKind.Watch as const, known: noVersion, waitMs: 60_000, hostId: "entry" };
+        node.step({ kind: NodeEventKind.Request, requestId: 1, request: watch }, 100);
+        const repliedAt: number[] = [];
+        for (let now = 100; now < 10_000 && repliedAt.length === 0; now += 100) {
+            const actions = node.step({ kind: NodeEventKind.Tick }, now);
+            const replies = actions.filter(action => action.kind === NodeActionKind.Reply);
+            repliedAt.push(...replies.filter(({ reply }) => reply.kind === StateReplyKind.Unavailable).map(() => now));
+        }
+        expect(repliedAt[0]).to.be.within(2900, 3200);
+    });
 });
