--- a/packages/core/src/lib/gateway/state-host-selector.ts
+++ b/packages/core/src/lib/gateway/state-host-selector.ts
@@ -43,8 +43,6 @@
     nextAddress(now: number): string | undefined;
     /** The state host to be attached to. */
     currentAddress(): string | undefined;
-    /** Whether the report of the state host at `address` is awaited. */
-    isAsked(address: string): boolean;
     /** Time since a majority confirmed the view that this host holds, in milliseconds. */
     viewAgeMs(now: number): number;
 }
@@ -220,7 +218,6 @@
             return address;
         },
         currentAddress: () => current,
-        isAsked: address => asked.has(address),
         viewAgeMs: now => now - viewConfirmedAt,
     };
 };
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -97,6 +97,8 @@
             attach(address, link);
         }
         else {
+            const reportedAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
+            log.log("stateHostNotChosen", { address, reportedAgeMs, viewAgeMs: roundedViewAgeMs() });
             link.close();
         }
     };
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -97,8 +97,12 @@
     viewFresh: info("CP2015", "A majority of the state hosts confirms this host's view again."),
     configurationInForce: info("CP2016", "A newer published configuration is in force on this host."),
     stateHostTried: info("CP2017", "This entry host tries another state host; the fields show what it knew when it decided."),
-    updateUnusable: warn(
+    stateHostNotChosen: info(
         "CP2018",
+        "This entry host stays with its state host, because the one that it tried reports an old view or is no longer needed.",
+    ),
+    updateUnusable: warn(
+        "CP2019",
         "An update of the configuration was based on another configuration than the one on this host.",
         "Report it with the log lines of this entry host and of the state host.",
     ),
