Log each change of the set of voters on state hosts

To tell a quorum that absent voters have filled from an election that fails for another reason, the log needs the voters over time; the gauge cassiapick_voters holds their number only.

--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -106,6 +106,7 @@
         "An update of the configuration was based on another configuration than the one on this host.",
         "Report it with the log lines of this entry host and of the state host.",
     ),
+    votersChanged: info("CP2020", "The set of voters in the log of this state host has changed."),
     serverJoined: info("CP3001", "A backend server announced itself."),
     serverLeft: info("CP3002", "A backend server left or its lease expired."),
     serverEjected: warn(
--- a/packages/state/src/lib/state-driver.ts
+++ b/packages/state/src/lib/state-driver.ts
@@ -92,6 +92,7 @@
     let isSuspended = false;
     let writeStartedAt: number | undefined;
     let lastRole = node.status().role;
+    let lastVoters = "";
 
     const runAction = (action: NodeAction): void => {
         if (action.kind === NodeActionKind.Send) {
@@ -116,6 +117,14 @@
         lastRole = status.role;
     };
 
+    const logVotersChange = (): void => {
+        const voters = node.voters().sort().join(",");
+        if (voters !== lastVoters) {
+            lastVoters = voters;
+            log.log("votersChanged", { voters, leaderId: node.status().leaderId });
+        }
+    };
+
     const isStalled = (): boolean => writeStartedAt !== undefined && clock() - writeStartedAt > writeStallTimeoutMs;
 
     const failPendingRequests = (): void => {
@@ -206,6 +215,7 @@
             return;
         }
         logRoleChange();
+        logVotersChange();
         for (const action of actions) {
             runAction(action);
         }
