Show in a test that absent voters fill the quorum

Replaces state hosts one after the other, each only after its successor has had the time to catch up, and then loses one more disk while all others are killed.

--- a/packages/core/src/test/voters_test.ts
+++ b/packages/core/src/test/voters_test.ts
@@ -218,6 +218,56 @@
     }
 });
 
+// Guards against a fleet that can't elect a leader after a loss that it tolerates, because absent voters fill the quorum.
+describe("state hosts that are replaced one after the other", () => {
+    const foundingHosts = ["a", "b", "c", "d", "e"];
+    /** The successor of a lost host has caught up after this time, so the next host may be lost. */
+    const replacementIntervalMs = 5000;
+    const cases: [name: string, lostHosts: string[]][] = [
+        ["two", ["a", "b"]],
+        ["three", ["a", "b", "c"]],
+        ["all founding hosts", foundingHosts],
+    ];
+
+    const replaceHosts = (lostHosts: readonly string[], seed: number): { fleet: TestFleet; running: string[]; } => {
+        const fleet = createTestFleet(["a", "b", "c"], seed);
+        foundingHosts.forEach((hostId, index) => fleet.add(hostId, index < 3));
+        fleet.run(5000);
+        const running = new Set(foundingHosts);
+        for (const hostId of lostHosts) {
+            fleet.stop(hostId);
+            running.delete(hostId);
+            const successor = `${hostId}-successor`;
+            fleet.add(successor, false);
+            running.add(successor);
+            // A new host reads the seeds that are in force when it starts.
+            fleet.node(successor).addContacts([...running]);
+            fleet.run(replacementIntervalMs);
+        }
+        return { fleet, running: [...running].sort() };
+    };
+
+    for (const [name, lostHosts] of cases) {
+        for (const seed of [1, 2, 3]) {
+            it(`removes the voters that were lost, ${name}, seed ${seed}`, () => {
+                const { fleet, running } = replaceHosts(lostHosts, seed);
+                fleet.run(20_000);
+                expect(fleet.node(running[0]!).voters().sort()).to.deep.equal(running);
+            });
+
+            it(`elects a leader after one more disk is lost and all hosts are killed, ${name}, seed ${seed}`, () => {
+                const { fleet, running } = replaceHosts(lostHosts, seed);
+                expect(fleet.request(running[0]!, publish(7))?.kind).to.equal(StateReplyKind.Recorded);
+                running.forEach(hostId => fleet.stop(hostId));
+                running.forEach(hostId => fleet.restart(hostId, hostId === running.at(-1)));
+                fleet.run(6000);
+                const reply = fleet.request(running[0]!, read);
+                expect(reply?.kind === StateReplyKind.Published && reply.published?.number).to.equal(7);
+            });
+        }
+    }
+});
+
 describe("state hosts after a power failure", () => {
     const hostIds = ["a", "b", "c", "d", "e"];
     const electionTimeoutMs = 800;
