Remove an absent voter while other voters are absent too

Cause: a silent voter was removed only while all other voters replied. Once two voters were absent at the same time, each prevented the removal of the other, and every further replacement of a host added one. A majority of the voters then needed every host that was left.

Why this works: the condition is now what the removal has to preserve, that the voters which reply alone tolerate as many lost disks as before. Removing a silent voter never reduces the number of voters that reply and never raises the majority.

--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -208,22 +208,22 @@
     };
 
     /**
-     * Removes the voter with the longest silence, one at a time and only while all others reply, so that the remaining
-     * voters tolerate the loss of as many disks as before.
+     * Removes the voter with the longest silence, one at a time and only while enough others reply: those alone tolerate the
+     * loss of as many disks as before. Other absent voters don't delay the removal, or two of them would stay for good.
      */
     const removeAbsentVoter = (): void => {
         const { replacement } = ctx;
-        const voters = Object.keys(ctx.log.voters());
-        if (replacement === undefined || voters.length <= replacement.minVoters || !mayChangeVoters()) {
+        if (replacement === undefined || !mayChangeVoters()) {
             return;
         }
         const silenceMs = (hostId: string): number =>
             hostId === ctx.hostId ? 0 : ctx.now - (progress.get(hostId)?.lastReceivedAt ?? ctx.now);
-        const [longestSilent, ...others] = voters.sort((a, b) => silenceMs(b) - silenceMs(a));
-        const areOthersReachable = others.every(hostId =>
-            silenceMs(hostId) < 2 * ctx.timing.heartbeatMs + ctx.timing.electionTimeoutMs
-        );
-        if (longestSilent !== undefined && silenceMs(longestSilent) >= replacement.absenceTimeoutMs && areOthersReachable) {
+        const [longestSilent, ...others] = Object.keys(ctx.log.voters()).sort((a, b) => silenceMs(b) - silenceMs(a));
+        const reachable = others.filter(hostId => silenceMs(hostId) < 2 * ctx.timing.heartbeatMs + ctx.timing.electionTimeoutMs);
+        if (
+            longestSilent !== undefined && silenceMs(longestSilent) >= replacement.absenceTimeoutMs
+            && reachable.length >= replacement.minVoters
+        ) {
             propose({ kind: EntryKind.RemoveVoter, hostId: longestSilent });
         }
     };
