Remove an absent voter before the next host may be lost

Cause: a voter was removed after 8 s of silence, but the next host may be lost 4 s after the successor of the last one has started. A leader counts the silence only from its own election, so when each lost host was the leader, no voter was ever removed.

Why this works: 3 s is longer than a restart of the process and, with an election of up to 1.6 s, shorter than the time to the next loss. A host that was only away for longer joins again by itself; the voters that are left always tolerate as many lost disks as before.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -13,6 +13,7 @@
     nearestStateHost,
     StateReplyKind,
     StateRequestKind,
+    voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
 import type {
     EntryHello,
@@ -53,8 +54,6 @@
 const ackDelayMs = 400;
 /** Interval between two ticks of the consensus node, in milliseconds. */
 const consensusTickMs = 50;
-/** Time without a reply after which a voter may be removed, in milliseconds. */
-const voterAbsenceTimeoutMs = 8000;
 /**
  * Timeout for committing an announcement, a leave notice or a publication, in milliseconds. The sender of an announcement tries
  * another host after one second.
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -21,6 +21,13 @@
 /** Default timing for 20 ms between regions and disks that sync within 100 ms. */
 export const defaultStateTiming: StateTiming = { heartbeatMs: 100, electionTimeoutMs: 600, requestTimeoutMs: 3000 };
 
+/**
+ * Time without a reply after which a leader may remove a voter, in milliseconds: longer than a restart of the process. The next
+ * host may be lost once the successor of the last one has caught up, 4 s after its start; by then the absent voter must be
+ * removed, also by a leader that counts its silence only from its own election.
+ */
+export const voterAbsenceTimeoutMs = 3000;
+
 /** Settings for the removal of absent voters. */
 export interface ReplacementCfg {
     /** Voters are never removed below this number: twice the disks that may be lost at once, plus one. */
--- a/packages/core/src/test/voters_test.ts
+++ b/packages/core/src/test/voters_test.ts
@@ -8,6 +8,7 @@
     StateReplyKind,
     StateRequestKind,
     StateRole,
+    voterAbsenceTimeoutMs,
 } from "../index.js";
 import type { HardState, LogEntry, NodeAction, NodeEvent, Snapshot, StateNode, StateReply, StateRequest } from "../index.js";
 
@@ -97,7 +98,7 @@
             random: createRandom(random.below(2 ** 30)),
             wallClock: () => now,
             timing: { heartbeatMs: 200, electionTimeoutMs: 800, requestTimeoutMs: 3000 },
-            replacement: { minVoters: 3, absenceTimeoutMs: 8000 },
+            replacement: { minVoters: 3, absenceTimeoutMs: voterAbsenceTimeoutMs },
         });
         hosts.set(hostId, { node, disk, startedAt: now });
     };
@@ -223,18 +224,24 @@
     const foundingHosts = ["a", "b", "c", "d", "e"];
     /** The successor of a lost host has caught up after this time, so the next host may be lost. */
     const replacementIntervalMs = 5000;
-    const cases: [name: string, lostHosts: string[]][] = [
-        ["two", ["a", "b"]],
-        ["three", ["a", "b", "c"]],
-        ["all founding hosts", foundingHosts],
+    type HostSelector = (fleet: TestFleet) => string;
+    const named = (hostIds: readonly string[]): HostSelector[] => hostIds.map(hostId => () => hostId);
+    // A new leader does not know for how long the voters have been absent.
+    const leader: HostSelector = fleet => fleet.leader()!;
+    const cases: [name: string, lostHosts: HostSelector[]][] = [
+        ["two", named(["a", "b"])],
+        ["three", named(["a", "b", "c"])],
+        ["all founding hosts", named(foundingHosts)],
+        ["five times the leader", [leader, leader, leader, leader, leader]],
     ];
 
-    const replaceHosts = (lostHosts: readonly string[], seed: number): { fleet: TestFleet; running: string[]; } => {
+    const replaceHosts = (lostHosts: readonly HostSelector[], seed: number): { fleet: TestFleet; running: string[]; } => {
         const fleet = createTestFleet(["a", "b", "c"], seed);
         foundingHosts.forEach((hostId, index) => fleet.add(hostId, index < 3));
         fleet.run(5000);
         const running = new Set(foundingHosts);
-        for (const hostId of lostHosts) {
+        for (const selectHost of lostHosts) {
+            const hostId = selectHost(fleet);
             fleet.stop(hostId);
             running.delete(hostId);
             const successor = `${hostId}-successor`;
