Refuse what must run once rather than send it to a limited server that fails

What callers saw: while all servers of a service name limits, a host has shares of few of them. When those of the healthy ones are spent, it sent requests that must run once to one that fails, and the caller got a failure with an unknown outcome.

Why this works: a refusal is true and immediate, and the caller can return to a host with a share of a healthy server.

The case of server-pool_test fails without the change.

--- a/packages/core/src/lib/gateway/selection-weights.ts
+++ b/packages/core/src/lib/gateway/selection-weights.ts
@@ -27,6 +27,11 @@
     silent: number;
     /** Upper bound of a random cost that spreads the selections of many hosts over equal servers. */
     jitter: number;
+    /**
+     * A request that must not be repeated is not sent to a limited server whose failure probability is higher: the host has few
+     * other shares, but the caller can return to a host that has a share of a healthy server.
+     */
+    maxLimitedFailureProbability: number;
     /** Requests that a server is sent beyond its slots; it queues a few more than these before it declines. */
     maxRequestsBeyondSlots: number;
     failureEstimate: FailureEstimateCfg;
@@ -46,6 +51,7 @@
     slowStart: 0.12,
     silent: 0.3,
     jitter: 0.02,
+    maxLimitedFailureProbability: 0.9,
     maxRequestsBeyondSlots: 9,
     failureEstimate: defaultFailureEstimateCfg,
 };
--- a/packages/core/src/lib/gateway/server-limits.ts
+++ b/packages/core/src/lib/gateway/server-limits.ts
@@ -20,6 +20,8 @@
 export interface ServerLimits {
     /** Replaces the shares of this host. `viewAgeMs` is the age of its view until now. */
     setShares(shares: readonly LimitShare[], viewAgeMs: number, now: number): void;
+    /** Whether the state hosts have divided a limit of the server. */
+    isLimited(number: number): boolean;
     /** Whether this host may send the server a request now. */
     maySend(number: number, viewAgeMs: number, now: number): boolean;
     requestStarted(number: number, now: number): void;
@@ -132,6 +134,7 @@
                 }
             }
         },
+        isLimited: number => buckets.has(number),
         maySend: (number, viewAgeMs, now) => {
             const bucket = buckets.get(number);
             if (bucket === undefined) {
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -45,6 +45,7 @@
 
 /** Decides whether a limited server may get a request of this host. */
 export interface ServerLimitGate {
+    isLimited(number: number): boolean;
     maySend(number: number, now: number): boolean;
     requestStarted(number: number, now: number): void;
 }
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -179,6 +179,11 @@
         && isWithinLimit(member, now)
         && member.ownInFlight + member.otherHostsInFlight < member.record.slots + weights.maxRequestsBeyondSlots;
 
+    /** Whether a refusal is better for the caller than an attempt at this server. */
+    const isRefusalBetter = (member: Member, repeatability: Repeatability, now: number): boolean =>
+        repeatability === Repeatability.AtMostOnce && cfg.limits?.isLimited(member.record.number) === true
+        && failureProbabilityAt(member.failureEstimate, now, weights.failureEstimate) > weights.maxLimitedFailureProbability;
+
     const choose = (
         service: string,
         repeatability: Repeatability,
@@ -194,6 +199,9 @@
                 continue;
             }
             const isProbe = isNewlyWarm(member) || (mayProbe && isProbeDue(member, now));
+            if (!isProbe && isRefusalBetter(member, repeatability, now)) {
+                continue;
+            }
             const cost = expectedCost(member, repeatability, utilization, now) - (isProbe ? weights.probe : 0);
             if (cost < bestCost) {
                 best = member;
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createRandom, createServerPool, Repeatability, ServerObservation, ServingState } from "../index.js";
-import type { FleetServer, ServerPool } from "../index.js";
+import type { FleetServer, ServerLimitGate, ServerPool } from "../index.js";
 
 const { AtMostOnce, Repeatable } = Repeatability;
 const regions = { a1: "a", a2: "a", b1: "b" };
@@ -23,8 +23,9 @@
     ...changes,
 });
 
-const createPool = (servers: FleetServer[], seed = 1): ServerPool => {
+const createPool = (servers: FleetServer[], seed = 1, limits?: ServerLimitGate): ServerPool => {
     const pool = createServerPool({
+        limits,
         locality: { availabilityZone: "a1", regions },
         random: createRandom(seed),
         wallClock: () => 10_000,
@@ -273,4 +274,46 @@
         expect(choose(pool, 1)).to.equal(7);
         expect(pool.size()).to.equal(2);
     });
+
+    const failingServer = (pool: ServerPool): void => [1, 2, 3].forEach(() => pool.requestEnded(1, ServerObservation.Failure, 0));
+    const limitCases: {
+        name: string;
+        limited: number[];
+        within: number[];
+        prepare?: (pool: ServerPool) => void;
+        repeatability?: Repeatability;
+        expected: number | undefined;
+    }[] = [
+        { name: "sends a limited server requests within the limit", limited: [1], within: [1], expected: 1 },
+        { name: "sends what a limited server can't take to another one", limited: [1], within: [], expected: 2 },
+        { name: "selects none when no server can take the request", limited: [1, 2, 3], within: [], expected: undefined },
+        // A caller that is refused can return to a host with a share of a healthy server; a failed attempt may have run.
+        {
+            name: "refuses what must not be repeated rather than send it to a limited server that fails",
+            limited: [1, 2, 3],
+            within: [1],
+            prepare: failingServer,
+            expected: undefined,
+        },
+        {
+            name: "sends what may be repeated to a limited server that fails, if there is no other",
+            limited: [1, 2, 3],
+            within: [1],
+            prepare: failingServer,
+            repeatability: Repeatable,
+            expected: 1,
+        },
+    ];
+    for (const { name, limited, within, prepare, repeatability, expected } of limitCases) {
+        it(name, () => {
+            const pool = createPool([local, region, remote], 1, {
+                isLimited: number => limited.includes(number),
+                maySend: number => !limited.includes(number) || within.includes(number),
+                requestStarted: () => undefined,
+            });
+            prepare?.(pool);
+            expect(choose(pool, 100, repeatability)).to.equal(expected);
+            expect(pool.hasFreeSlots(service, 100)).to.equal(limited.length < 3 || within.length > 0);
+        });
+    }
 });
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -79,6 +79,7 @@
         random: options.random,
         wallClock,
         limits: {
+            isLimited: number => limits.isLimited(number),
             maySend: (number, now) => limits.maySend(number, link.viewAgeMs(), now),
             requestStarted: (number, now) => limits.requestStarted(number, now),
         },
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -10,8 +10,9 @@
     RequestAction,
     ServerObservation,
 } from "@cassiapick/core";
-import type { HostRetryBudget, RouteLatencyTracker, SelectionWeights, ServerPool } from "@cassiapick/core";
+import type { FleetServer, HostRetryBudget, RouteLatencyTracker, SelectionWeights, ServerPool } from "@cassiapick/core";
 import { createTimeline } from "@cassiapick/proofs";
+import { createLimitGates, entryHostRecord } from "./gateway-limits.js";
 import { createServers, drawIntervalMs, scheduleFaultEpisodes, serveRequest } from "./gateway-servers.js";
 import type { SimulatedServer } from "./gateway-servers.js";
 import type { RequestClass, SimulatedSite } from "./gateway-sites.js";
@@ -24,6 +25,8 @@
     sharesEvidence: boolean;
     /** Whether servers are selected at random. */
     isRandom?: boolean;
+    /** The limit that a server names, in requests a second; `undefined` for none. */
+    limitOf?: (record: FleetServer) => number | undefined;
 }
 
 /** Outcome of one run. */
@@ -38,6 +41,8 @@
     retryCount: number;
     /** Total utility of the answers for the users: 1 within the objective, 0.3 after it, 0 without an answer in time. */
     utility: number;
+    /** Refusals at once, after which the caller returns to another host. */
+    refusals: number;
     /** Served fraction of the request class that is served worst. */
     lowestServedFraction: number;
 }
@@ -57,6 +62,9 @@
 const runMs = 30_000;
 const lateAnswerUtility = 0.3;
 
+/** `Retry-After` of a refusal, and the part of the remaining time up to which callers wait for it. */
+const retryAfter = { minMs: 150, jitterMs: 250, maxFractionOfRemaining: 1 / 3 } as const;
+
 /** Simulates a site for 30 seconds of fake time. */
 export const simulateSite = (
     site: SimulatedSite,
@@ -69,9 +77,14 @@
     const servers = createServers(site);
     const zones = Object.keys(site.regions);
     const hostCount = zones.length * site.entryHostsPerZone;
+    const hostRecords = zones.flatMap(zone =>
+        Array.from({ length: site.entryHostsPerZone }, (_, index) => entryHostRecord(`${zone}-${index}`, zone))
+    );
+    const limitGates = createLimitGates(hostRecords, servers, strategy.limitOf ?? (() => undefined));
     const hosts: EntryHost[] = zones.flatMap(zone =>
         Array.from({ length: site.entryHostsPerZone }, (_, index) => {
             const pool = createServerPool({
+                limits: limitGates.get(`${zone}-${index}`),
                 locality: { availabilityZone: zone, regions: site.regions },
                 random: createRandom(seed * 1000 + index),
                 wallClock: () => timeline.now(),
@@ -92,7 +105,16 @@
         scheduleFaultEpisodes(server, site, timeline, random);
     }
     const tallies = new Map(site.classes.map(requestClass => [requestClass.name, { requestCount: 0, served: 0 }]));
-    const result = { requestCount: 0, served: 0, inObjective: 0, inOtherZone: 0, inOtherRegion: 0, retryCount: 0, utility: 0 };
+    const result = {
+        requestCount: 0,
+        served: 0,
+        inObjective: 0,
+        inOtherZone: 0,
+        inOtherRegion: 0,
+        retryCount: 0,
+        utility: 0,
+        refusals: 0,
+    };
 
     const delayBetween = (from: string, to: string): number => {
         if (from === to) {
@@ -129,12 +151,19 @@
         }
     };
 
-    const request = (host: EntryHost, requestClass: RequestClass): void => {
-        const startedAt = timeline.now();
+    /** The caller was refused and sends its request to another host, unless too little time is left. */
+    const returnLater = (requestClass: RequestClass, startedAt: number): void => {
+        result.refusals += 1;
+        const waitMs = retryAfter.minMs + retryAfter.jitterMs * random.next();
+        const remainingMs = startedAt + requestClass.timeoutMs - timeline.now();
+        if (waitMs < remainingMs * retryAfter.maxFractionOfRemaining) {
+            timeline.after(waitMs, () => request(hosts[random.below(hosts.length)]!, requestClass, startedAt));
+        }
+    };
+
+    const request = (host: EntryHost, requestClass: RequestClass, startedAt: number): void => {
         const deadlineAt = startedAt + requestClass.timeoutMs;
         const tally = tallies.get(requestClass.name)!;
-        tally.requestCount += 1;
-        result.requestCount += 1;
         host.retryBudget.recordRequest(requestClass.service, startedAt);
         const attempts = createRequestAttempts({
             repeatability: requestClass.repeatability,
@@ -233,14 +262,18 @@
             });
         };
         const first = chooseServer();
-        if (first !== undefined) {
-            startAttempt(first);
+        if (first === undefined) {
+            returnLater(requestClass, startedAt);
+            return;
         }
+        startAttempt(first);
     };
 
     for (const requestClass of site.classes) {
         const handleArrival = (): void => {
-            request(hosts[random.below(hosts.length)]!, requestClass);
+            tallies.get(requestClass.name)!.requestCount += 1;
+            result.requestCount += 1;
+            request(hosts[random.below(hosts.length)]!, requestClass, timeline.now());
             timeline.after(drawIntervalMs(random, 1000 / (requestClass.requestsPerSecond * loadFactor)), handleArrival);
         };
         timeline.after(drawIntervalMs(random, 1000 / (requestClass.requestsPerSecond * loadFactor)), handleArrival);
