Confirm tables to other entry hosts only while reading from a state host

Cause: entry hosts read the tables from the first owner that they see in their region, and hosts that see different members may take each other as that relay. Each answered 'unchanged' from its own tables, and a source that answers is kept, so both kept old tables for good. The class is that of stale configurations: a dependency that answers counts as one that is up to date.

Why this works: a relay that reads from another relay answers 'unavailable', and the asking host goes on to a state host.

--- a/packages/entry/src/lib/start-entry.ts
+++ b/packages/entry/src/lib/start-entry.ts
@@ -112,9 +112,11 @@
         metrics: () => callerRegistry.metrics(),
     });
 
+    let readsFromStateHost = false;
     const tablesRelay = createTablesRelay(
         () => node.versionedTables(),
         knownVersion => compareVersions(node.version(), knownVersion) > 0,
+        () => readsFromStateHost,
     );
     const seedHostInfo = (seed: EntrySettings["seeds"][number]): HostInfo => ({
         hostId: seed.hostId,
@@ -249,6 +251,9 @@
                 log.log("tablesUnreachable", { version: formatVersion(node.version()) });
             }
         },
+        onDirectSourceChange: isDirect => {
+            readsFromStateHost = isDirect;
+        },
     });
 
     const enroller = startEnroller({
--- a/packages/entry/src/lib/tables-watcher.ts
+++ b/packages/entry/src/lib/tables-watcher.ts
@@ -19,6 +19,8 @@
     onTables: (versioned: VersionedTables) => void;
     /** Called when the sources of tables become unreachable or reachable again. */
     onReachabilityChange: (isReachable: boolean) => void;
+    /** Called when this host begins or ceases to read from a state host that answers, so that it may serve as a relay. */
+    onDirectSourceChange: (isDirect: boolean) => void;
 }
 
 /** Watches the sources of tables. */
@@ -40,6 +42,7 @@
     const state = { stopped: false };
     let pickCount = 0;
     let isReachable = true;
+    let isDirect = false;
 
     // A function, so that the compiler doesn't narrow the flag, which may change during an await.
     const isStopped = (): boolean => state.stopped;
@@ -86,15 +89,27 @@
             : options.stateHosts[pickCount % options.stateHosts.length];
     };
 
+    const isStateHost = (source: RpcClient | undefined): boolean => source !== undefined && options.stateHosts.includes(source);
+
+    const setDirect = (isNowDirect: boolean): void => {
+        if (isNowDirect !== isDirect) {
+            isDirect = isNowDirect;
+            options.onDirectSourceChange(isDirect);
+        }
+    };
+
     const watchLoop = async (): Promise<void> => {
         let source = pickSource();
         while (!state.stopped) {
+            setDirect(isStateHost(source));
             const isAnswered = source !== undefined && await watchTables(source, watchWaitMs);
-            if (isAnswered !== isReachable && !isStopped()) {
+            // A relay that does not answer says nothing about the state hosts.
+            if (isAnswered !== isReachable && (isAnswered || isStateHost(source)) && !isStopped()) {
                 isReachable = isAnswered;
                 options.onReachabilityChange(isReachable);
             }
             if (!isAnswered) {
+                setDirect(false);
                 await sleep(retryDelayMs);
                 source = pickSource();
             }
@@ -120,22 +135,33 @@
     notifyWatchers(): void;
 }
 
-/** Creates a relay of the tables that `currentTables` returns. */
+const notDirectReply = (): StateReply => ({
+    kind: StateReplyKind.Unavailable,
+    retryAfterMs: retryDelayMs,
+    message: "This entry host does not read from a state host, so its tables may be old. Ask a state host.",
+});
+
+/**
+ * Creates a relay of the tables that `currentTables` returns. Only a host that reads from a state host (`isDirect`) confirms
+ * that there is nothing newer: two hosts that took each other as relays would confirm old tables to each other for good.
+ */
 export const createTablesRelay = (
     currentTables: () => VersionedTables | undefined,
     hasNewerThan: (knownVersion: Version) => boolean,
+    isDirect: () => boolean,
 ): TablesRelay => {
     const waitingWatchers = new Set<() => void>();
 
     const createReply = (knownVersion: Version): StateReply => {
         const versioned = currentTables();
-        return versioned !== undefined && hasNewerThan(knownVersion)
-            ? { kind: StateReplyKind.Tables, versioned }
-            : { kind: StateReplyKind.Unchanged, version: versioned?.version ?? noVersion };
+        if (versioned !== undefined && hasNewerThan(knownVersion)) {
+            return { kind: StateReplyKind.Tables, versioned };
+        }
+        return isDirect() ? { kind: StateReplyKind.Unchanged, version: versioned?.version ?? noVersion } : notDirectReply();
     };
 
     const handleWatch = async (knownVersion: Version, waitMs: number): Promise<StateReply> => {
-        if (!hasNewerThan(knownVersion) && waitMs > 0) {
+        if (!hasNewerThan(knownVersion) && waitMs > 0 && isDirect()) {
             await new Promise<void>(resolve => {
                 const finish = (): void => {
                     clearTimeout(timer);
