--- a/packages/core/src/lib/gateway/limit-shares.ts
+++ b/packages/core/src/lib/gateway/limit-shares.ts
@@ -32,7 +32,7 @@
  * Number of owners of a limit. Each owner may send one request at once, besides its rate. With one owner and two more for each
  * request a second, the fleet sends at most `1 + 2 limit + t limit` requests in `t` seconds.
  */
-export const ownerCountForLimit = (limitPerS: number): number => 1 + Math.ceil(ownersPerUnit * limitPerS);
+const ownerCountForLimit = (limitPerS: number): number => 1 + Math.ceil(ownersPerUnit * limitPerS);
 
 /** Returns the ids of the owners of a server's limit, by rendezvous hashing, so that a host that leaves moves only its own shares. */
 const ownersOfLimit = (server: FleetServer, hostIds: readonly string[]): Set<string> => {
--- a/packages/core/src/lib/gateway/server-limits.ts
+++ b/packages/core/src/lib/gateway/server-limits.ts
@@ -42,7 +42,7 @@
 }
 
 /** A share is used only while the view of this host is at most this old; another host waits as long before it uses the same share. */
-export const shareLeaseMs = 2000;
+const shareLeaseMs = 2000;
 /** Interval at which an unconfirmed report is repeated. */
 const reportIntervalMs = 500;
 /** A limit that a server named to this host holds for this long without being among the shares, while the view is recent. */
