--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -16,6 +16,7 @@
 import type { EventLog } from "@cassiapick/operations";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
+import type { Connect } from "./exchange.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import type { HeaderNames } from "./headers.js";
 import { runRequest } from "./request-runner.js";
@@ -37,6 +38,8 @@
     applyWithinMs: number;
     /** Time limit of a graceful stop, in milliseconds. */
     stopWithinMs: number;
+    /** Opens connections to backend servers; by default, over TCP. */
+    connectServer?: Connect;
     random: Random;
     clock: () => number;
     wallClock: () => number;
@@ -129,6 +132,7 @@
                 random: options.random,
                 headerNames: options.headerNames,
                 localAddress: options.listenHost,
+                connectServer: options.connectServer,
                 clock,
                 log,
                 onServerFailed: () => link.sendReportsNow(),
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -7,6 +7,7 @@
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { headerValue } from "./headers.js";
 import type { HeaderNames, RawHeaders } from "./headers.js";
 
@@ -51,10 +52,18 @@
     cancel(): void;
 }
 
+/** Opens a connection to "host:port" from a local address. */
+export type Connect = (address: string, localAddress?: string) => Socket;
+
+/** Opens a TCP connection. */
+export const connectTcp: Connect = (address, localAddress) => connect({ ...splitAddress(address), localAddress, noDelay: true });
+
 /** Options of {@link startExchange}. */
 export interface ExchangeOptions {
     headerNames: HeaderNames;
     localAddress?: string;
+    /** Opens the connection; by default, over TCP. */
+    connect?: Connect;
     /** Timeout for establishing the connection, in milliseconds. */
     connectTimeoutMs: number;
     /** Timeout for the whole attempt, in milliseconds. */
@@ -100,11 +109,7 @@
     let isFinished = false;
     let isConnected = false;
     let limitPerS: number | undefined;
-    const socket = connect({
-        ...splitAddress(req.address),
-        localAddress: options.localAddress,
-        noDelay: true,
-    });
+    const socket = (options.connect ?? connectTcp)(req.address, options.localAddress);
     // If a reset has already arrived when the last bytes are read, the event loop reports an orderly end, but the socket
     // has no remote address any more. This listener must run before those that close the socket.
     let wasReset = false;
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -12,7 +12,7 @@
 } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { startExchange } from "./exchange.js";
-import type { Exchange, ExchangeResult, ServerAnswer } from "./exchange.js";
+import type { Connect, Exchange, ExchangeResult, ServerAnswer } from "./exchange.js";
 import type { HeaderNames, RawHeaders } from "./headers.js";
 
 /** A caller's request and its route. */
@@ -60,6 +60,8 @@
     random: Random;
     headerNames: HeaderNames;
     localAddress?: string;
+    /** Opens connections to servers; by default, over TCP. */
+    connectServer?: Connect;
     clock: () => number;
     log: EventLog;
     /** Called when an attempt is evidence of an unhealthy server. */
@@ -261,6 +263,7 @@
         }, {
             headerNames: dependencies.headerNames,
             localAddress: dependencies.localAddress,
+            connect: dependencies.connectServer,
             connectTimeoutMs,
             timeoutMs: remainingMs + attemptTimeoutMarginMs,
         });
