Split one attempt out of the request runner, and one HTTP call out of the exchange

No behaviour changes. The attempt at a server and the HTTP call get modules of their own, because entry hosts will also send requests for each other.

--- /dev/null
+++ b/packages/gateway/src/lib/attempt.ts
@@ -0,0 +1,45 @@
+/** One attempt of a request. */
+import type { Repeatability } from "@cassiapick/core";
+import type { RawHeaders } from "./headers.js";
+import type { HttpCallResult } from "./http-call.js";
+
+/** What an attempt needs to know of its request. */
+export interface AttemptRequest {
+    requestId: string | undefined;
+    routeName: string;
+    /** Latency objective of the route, in milliseconds. */
+    latencyObjectiveMs: number;
+    service: string;
+    repeatability: Repeatability;
+    method: string;
+    target: string;
+    /** End-to-end headers, without those that the gateway sets. */
+    headers: RawHeaders;
+    body: Buffer;
+    /** When the caller must have a response, in milliseconds of the host's clock. */
+    deadlineAt: number;
+}
+
+/** How an attempt ended. */
+export interface AttemptResult extends HttpCallResult {
+    /** The server that the request was sent to, or to which no connection was established; `undefined` if none was selected. */
+    server?: { number: number; serverId: string; };
+}
+
+/** An attempt in flight. */
+export interface Attempt {
+    /** Never rejects. */
+    readonly result: Promise<AttemptResult>;
+    /** Whether the request may run on a server because of this attempt. */
+    mayHaveBeenSent(): boolean;
+    /** Records that the attempt takes far longer than usual. */
+    recordStuck(): void;
+    /** Ends the attempt, so that the server can stop its work on the request. */
+    cancel(): void;
+}
+
+/** The request's deadline ends its attempts; an attempt's own timeout, this much later, is only a safeguard, in milliseconds. */
+export const attemptTimeoutMarginMs = 100;
+
+/** Time until the caller must have a response, in milliseconds; at least 1. */
+export const remainingMsAt = (req: AttemptRequest, now: number): number => Math.max(1, Math.floor(req.deadlineAt - now));
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -4,9 +4,11 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { forwardBody } from "./answer-body.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { endToEndHeaders, headerValue } from "./headers.js";
 import type { HeaderNames } from "./headers.js";
+import { listenOn } from "./listen-on.js";
 import { ReplyKind } from "./request-runner.js";
 import type { CallerRequest, Reply, RequestRun } from "./request-runner.js";
 
@@ -111,28 +113,7 @@
         const headers = endToEndHeaders(answer.headers, stream === undefined ? ["content-length"] : []);
         const length = stream === undefined ? ["Content-Length", String(answer.body.length)] : [];
         res.writeHead(answer.status, [...headers, ...length, ...(isDraining ? ["Connection", "close"] : [])]);
-        if (stream === undefined) {
-            res.end(answer.body);
-            return;
-        }
-        res.write(answer.body);
-        // A truncated body must not look complete, so the connection to the caller is closed before the end of the body too.
-        stream.on("error", () => res.destroy());
-        stream.on("end", () => {
-            if (answer.isComplete?.() === true) {
-                res.end();
-            }
-            else {
-                res.destroy();
-            }
-        });
-        stream.on("close", () => {
-            if (!stream.complete) {
-                res.destroy();
-            }
-        });
-        res.on("close", () => stream.destroy());
-        stream.pipe(res, { end: false });
+        forwardBody(res, answer);
     };
 
     const logOutcome = (caller: CallerRequest, reply: Reply): void => {
@@ -289,15 +270,7 @@
     server.headersTimeout = 0;
 
     return {
-        listen: (host, port) =>
-            new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen({ port, host, backlog: 1024 }, () => {
-                    server.off("error", reject);
-                    const address = server.address();
-                    resolve(typeof address === "object" && address !== null ? address.port : port);
-                });
-            }),
+        listen: (host, port) => listenOn(server, host, port),
         setLimits: next => {
             limits = next;
             server.keepAliveTimeout = next.idleTimeoutMs;
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -16,9 +16,9 @@
 import type { EventLog } from "@cassiapick/operations";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
-import type { Connect } from "./exchange.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import type { HeaderNames } from "./headers.js";
+import type { Connect } from "./http-call.js";
 import { runRequest } from "./request-runner.js";
 import { createStateLink } from "./state-link.js";
 
@@ -132,7 +132,7 @@
                 random: options.random,
                 headerNames: options.headerNames,
                 localAddress: options.listenHost,
-                connectServer: options.connectServer,
+                connect: options.connectServer,
                 clock,
                 log,
                 onServerFailed: () => link.sendReportsNow(),
--- /dev/null
+++ b/packages/gateway/src/lib/http-call.ts
@@ -0,0 +1,197 @@
+/**
+ * Sends one HTTP request over a connection of its own and reads the answer: its head, and its body up to a limit, beyond which
+ * the rest is a stream. Attempts at backend servers and requests to other entry hosts both use it.
+ */
+import { AttemptOutcome } from "@cassiapick/core";
+import { splitAddress } from "@cassiapick/wire";
+import { request as httpRequest } from "node:http";
+import type { IncomingMessage } from "node:http";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { headerValue } from "./headers.js";
+import type { RawHeaders } from "./headers.js";
+
+/** Opens a connection to "host:port" from a local address. */
+export type Connect = (address: string, localAddress?: string) => Socket;
+
+/** One HTTP request. */
+export interface HttpCall {
+    /** "host:port" to connect to. */
+    address: string;
+    method: string;
+    target: string;
+    headers: RawHeaders;
+    body: Buffer;
+}
+
+/** An answer with its complete body, or with its first part and the rest as `stream`. */
+export interface ServerAnswer {
+    status: number;
+    headers: RawHeaders;
+    body: Buffer;
+    /** The rest of a body that is too long to be buffered; it may still be truncated. */
+    stream?: IncomingMessage;
+    /** Whether the body was complete; to be called after `stream` has ended. */
+    isComplete?: () => boolean;
+}
+
+/** How a call ended. */
+export interface HttpCallResult {
+    outcome: AttemptOutcome;
+    /** Present if the outcome is `Answered` or `ServerError`. */
+    answer?: ServerAnswer;
+    /** Details of the outcome for the log. */
+    detail: string;
+}
+
+/** What the head of a response says: the end of the call without an answer, or the head of an answer whose body follows. */
+export type ResponseHead =
+    | { kind: "rejected"; outcome: AttemptOutcome; detail: string; }
+    | { kind: "answer"; status: number; headers: RawHeaders; };
+
+/** A call in flight. */
+export interface HttpCallInFlight {
+    /** Never rejects. */
+    readonly result: Promise<HttpCallResult>;
+    /** Whether a byte of the request may have reached the peer. */
+    mayHaveBeenSent(): boolean;
+    /** Closes the connection, so that the peer can stop its work on the request. */
+    cancel(): void;
+}
+
+/** Options of {@link startHttpCall}. */
+export interface HttpCallOptions {
+    localAddress?: string;
+    connect?: Connect;
+    /** Timeout for establishing the connection, in milliseconds. */
+    connectTimeoutMs: number;
+    /** Timeout for the whole call, in milliseconds. */
+    timeoutMs: number;
+    readHead: (res: IncomingMessage) => ResponseHead;
+    onConnected?: () => void;
+}
+
+/** Longer bodies are streamed to the caller. */
+const maxBufferedBytes = 256 * 1024;
+const serverErrorStatus = 500;
+
+/** Whether the end of the body is marked only by the close of the connection. */
+const isCloseDelimited = (headers: RawHeaders): boolean =>
+    headerValue(headers, "transfer-encoding") === undefined && headerValue(headers, "content-length") === undefined;
+
+/** Describes how the length of an answer's body is determined, for the log. */
+const describeFraming = (headers: RawHeaders): string => {
+    if (isCloseDelimited(headers)) {
+        return "delimited by the close of the connection";
+    }
+    return headerValue(headers, "transfer-encoding") === undefined ? "with Content-Length" : "chunked";
+};
+
+/** Opens a TCP connection. */
+export const connectTcp: Connect = (address, localAddress) => connect({ ...splitAddress(address), localAddress, noDelay: true });
+
+/** Starts a call. */
+export const startHttpCall = (call: HttpCall, options: HttpCallOptions): HttpCallInFlight => {
+    let resolveResult: (result: HttpCallResult) => void = () => undefined;
+    const result = new Promise<HttpCallResult>(resolve => {
+        resolveResult = resolve;
+    });
+    let isFinished = false;
+    /** Before the connection is established, no byte of the request has left this process. */
+    let isConnected = false;
+    const socket = (options.connect ?? connectTcp)(call.address, options.localAddress);
+    // If a reset has already arrived when the last bytes are read, the event loop reports an orderly end, but the socket
+    // has no remote address any more. This listener must run before those that close the socket.
+    let wasReset = false;
+    socket.once("end", () => {
+        wasReset = socket.remoteAddress === undefined;
+    });
+    const client = httpRequest({
+        createConnection: () => socket,
+        method: call.method,
+        path: call.target,
+        headers: [...call.headers],
+        setHost: false,
+    });
+
+    const finish = (outcome: AttemptOutcome, detail: string, answer?: ServerAnswer): void => {
+        if (isFinished) {
+            return;
+        }
+        isFinished = true;
+        clearTimeout(timer);
+        clearTimeout(connectTimer);
+        resolveResult({ outcome, detail, answer });
+        if (answer?.stream === undefined) {
+            client.destroy();
+        }
+    };
+
+    const fail = (outcome: AttemptOutcome, detail: string): void =>
+        finish(isConnected ? outcome : AttemptOutcome.NotSent, detail);
+
+    const isComplete = (res: IncomingMessage): boolean => res.complete && !(isCloseDelimited(res.rawHeaders) && wasReset);
+
+    const readBody = (res: IncomingMessage, { status, headers }: Extract<ResponseHead, { kind: "answer"; }>): void => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        const finishWithAnswer = (stream?: IncomingMessage): void => {
+            const outcome = status >= serverErrorStatus ? AttemptOutcome.ServerError : AttemptOutcome.Answered;
+            finish(outcome, `status ${status}, ${describeFraming(res.rawHeaders)}, ${bytes} bytes`, {
+                status,
+                headers,
+                body: Buffer.concat(chunks),
+                stream,
+                isComplete: () => isComplete(res),
+            });
+        };
+        res.on("data", (chunk: Buffer) => {
+            if (isFinished) {
+                return;
+            }
+            chunks.push(chunk);
+            bytes += chunk.length;
+            if (bytes > maxBufferedBytes) {
+                res.pause();
+                res.removeAllListeners("data");
+                finishWithAnswer(res);
+            }
+        });
+        res.on("end", () => {
+            if (!isComplete(res)) {
+                fail(AttemptOutcome.Broken, "the answer ended early");
+                return;
+            }
+            finishWithAnswer();
+        });
+        res.on("error", err => fail(AttemptOutcome.Broken, `the answer broke off: ${err.message}`));
+        res.on("close", () => fail(AttemptOutcome.Broken, "the answer broke off"));
+    };
+
+    const connectTimer = setTimeout(() => fail(AttemptOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
+    socket.once("connect", () => {
+        isConnected = true;
+        clearTimeout(connectTimer);
+        if (!isFinished) {
+            options.onConnected?.();
+        }
+    });
+    client.on("response", res => {
+        const head = options.readHead(res);
+        if (head.kind === "rejected") {
+            finish(head.outcome, head.detail);
+            return;
+        }
+        readBody(res, head);
+    });
+    client.on("error", err => fail(AttemptOutcome.Broken, err.message));
+    client.on("close", () => fail(AttemptOutcome.Broken, "the connection closed without an answer"));
+    const timer = setTimeout(() => fail(AttemptOutcome.TimedOut, "no answer in time"), options.timeoutMs);
+    client.end(call.body);
+
+    return {
+        result,
+        mayHaveBeenSent: () => isConnected,
+        cancel: () => finish(AttemptOutcome.Cancelled, "cancelled"),
+    };
+};
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -1,19 +1,11 @@
 /** Runs one request: selects servers, sends attempts, retries where that is safe, and determines the reply to the caller. */
-import { AttemptOutcome, createRequestAttempts, pickDestination, RequestAction, ServerObservation } from "@cassiapick/core";
-import type {
-    GatewayRoute,
-    HostRetryBudget,
-    LimitAnswer,
-    Random,
-    RequestAttempts,
-    RouteLatencyTracker,
-    ServerChoice,
-    ServerPool,
-} from "@cassiapick/core";
-import type { EventLog } from "@cassiapick/operations";
-import { startExchange } from "./exchange.js";
-import type { Connect, Exchange, ExchangeResult, ServerAnswer } from "./exchange.js";
-import type { HeaderNames, RawHeaders } from "./headers.js";
+import { createRequestAttempts, pickDestination, RequestAction } from "@cassiapick/core";
+import type { GatewayRoute, HostRetryBudget, Random, RequestAttempts, ServerChoice } from "@cassiapick/core";
+import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
+import type { RawHeaders } from "./headers.js";
+import type { ServerAnswer } from "./http-call.js";
+import { startServerAttempt } from "./server-attempt.js";
+import type { ServerAttemptDependencies } from "./server-attempt.js";
 
 /** A caller's request and its route. */
 export interface CallerRequest {
@@ -53,23 +45,9 @@
     | { kind: ReplyKind.CallerDisconnected; };
 
 /** Dependencies that all requests of a host share. */
-export interface RunnerDependencies {
-    pool: ServerPool;
+export interface RunnerDependencies extends ServerAttemptDependencies {
     retryBudget: HostRetryBudget;
-    latencies: RouteLatencyTracker;
     random: Random;
-    headerNames: HeaderNames;
-    localAddress?: string;
-    /** Opens connections to servers; by default, over TCP. */
-    connectServer?: Connect;
-    clock: () => number;
-    log: EventLog;
-    /** Called when an attempt is evidence of an unhealthy server. */
-    onServerFailed: () => void;
-    /** Called with what each ended attempt shows about the limit of its server. */
-    onLimitAnswer: (answer: LimitAnswer) => void;
-    /** Age of this host's view of the fleet, in milliseconds. */
-    viewAgeMs: () => number;
 }
 
 /** A request in flight. */
@@ -79,10 +57,6 @@
     cancel(): void;
 }
 
-/** A connection takes one round trip, 40 ms between regions; a lost packet is retransmitted after 200 ms. */
-const connectTimeoutMs = 450;
-/** The request's deadline ends its attempts; an attempt's own timeout, this much later, is only a safeguard. */
-const attemptTimeoutMarginMs = 100;
 /**
  * `Retry-After` of refused requests, in milliseconds. It is short while the service has free slots, as a server that
  * declined may accept the next request, and about the duration of one request while the service is full. The random part
@@ -90,26 +64,9 @@
  */
 const retryAfterRanges = { free: { minMs: 40, jitterMs: 80 }, full: { minMs: 150, jitterMs: 250 } } as const;
 
-const observationByOutcome: Record<AttemptOutcome, ServerObservation | undefined> = {
-    [AttemptOutcome.Answered]: ServerObservation.Success,
-    [AttemptOutcome.ServerError]: ServerObservation.Failure,
-    [AttemptOutcome.Declined]: ServerObservation.Stuck,
-    [AttemptOutcome.WrongServer]: undefined,
-    [AttemptOutcome.NotSent]: ServerObservation.Failure,
-    [AttemptOutcome.Broken]: ServerObservation.Failure,
-    [AttemptOutcome.TimedOut]: ServerObservation.Failure,
-    [AttemptOutcome.Cancelled]: undefined,
-};
-
-interface Attempt {
-    choice: ServerChoice;
-    exchange: Exchange;
-    startedAt: number;
-}
-
 /** Starts a request. */
 export const runRequest = (req: CallerRequest, dependencies: RunnerDependencies): RequestRun => {
-    const { clock, pool, log } = dependencies;
+    const { clock, pool } = dependencies;
     const { route } = req;
     const service = pickDestination(route.destinations, dependencies.random)?.service ?? "";
     dependencies.retryBudget.recordRequest(service, req.arrivedAt);
@@ -119,6 +76,18 @@
         deadlineAt: req.deadlineAt,
         tryTakeRetry: () => dependencies.retryBudget.tryTake(service, clock()),
     });
+    const attemptRequest: AttemptRequest = {
+        requestId: req.requestId,
+        routeName: route.name,
+        latencyObjectiveMs: route.latencyObjectiveMs,
+        service,
+        repeatability: route.repeatability,
+        method: req.method,
+        target: req.target,
+        headers: req.headers,
+        body: req.body,
+        deadlineAt: req.deadlineAt,
+    };
     const openAttempts = new Set<Attempt>();
     const triedServerNumbers = new Set<number>();
     const timers = new Set<NodeJS.Timeout>();
@@ -139,7 +108,7 @@
             clearTimeout(timer);
         }
         for (const attempt of openAttempts) {
-            attempt.exchange.cancel();
+            attempt.cancel();
         }
         resolveReply(finalReply);
     };
@@ -164,58 +133,12 @@
         timers.add(timer);
     };
 
-    const recordEnd = (attempt: Attempt, result: ExchangeResult): void => {
-        const now = clock();
-        const { server, failureProbability, load, observationAgeMs } = attempt.choice;
-        const elapsedMs = now - attempt.startedAt;
-        pool.requestEnded(server.number, observationByOutcome[result.outcome], now);
-        if (observationByOutcome[result.outcome] === ServerObservation.Failure) {
-            dependencies.onServerFailed();
-        }
-        dependencies.onLimitAnswer({
-            serverId: server.serverId,
-            number: server.number,
-            limitPerS: result.limitPerS,
-            isSuccess: result.outcome === AttemptOutcome.Answered,
-            startedAt: attempt.startedAt,
-        });
-        if (result.outcome === AttemptOutcome.Answered) {
-            dependencies.latencies.record(route.name, elapsedMs);
-            return;
-        }
-        if (result.outcome === AttemptOutcome.WrongServer) {
-            pool.markReplaced(server.number);
-        }
-        if (result.outcome === AttemptOutcome.Cancelled) {
-            return;
-        }
-        serverErrorAnswer = result.answer ?? serverErrorAnswer;
-        log.log("sendEnded", {
-            requestId: req.requestId,
-            route: route.name,
-            serverId: server.serverId,
-            address: server.address,
-            outcome: result.outcome,
-            detail: result.detail,
-            elapsedMs: Math.round(elapsedMs),
-            failing: Number(failureProbability.toFixed(3)),
-            load,
-            signAgeMs: observationAgeMs === undefined ? undefined : Math.round(observationAgeMs),
-            viewAgeMs: Math.round(dependencies.viewAgeMs()),
-        });
-    };
-
-    type ActionHandler = (result: ExchangeResult, attempt: Attempt) => void;
+    type ActionHandler = (result: AttemptResult) => void;
     const actionHandlers: Record<RequestAction, ActionHandler> = {
-        [RequestAction.Deliver]: ({ answer, detail }, { choice }) => {
+        [RequestAction.Deliver]: ({ answer, detail, server }) => {
             if (answer !== undefined) {
-                conclude({
-                    kind: ReplyKind.Answer,
-                    answer,
-                    serverId: choice.server.serverId,
-                    attemptCount: attempts.attemptCount(),
-                    detail,
-                });
+                const serverId = server?.serverId;
+                conclude({ kind: ReplyKind.Answer, answer, serverId, attemptCount: attempts.attemptCount(), detail });
             }
         },
         [RequestAction.Retry]: () => tryNextServer(),
@@ -230,7 +153,7 @@
             if (!openAttempts.has(attempt)) {
                 return;
             }
-            pool.recordStuck(attempt.choice.server.number, clock());
+            attempt.recordStuck();
             const hedgeChoice = pool.choose(service, route.repeatability, triedServerNumbers, clock());
             if (hedgeChoice !== undefined && attempts.tryHedge(clock())) {
                 startAttempt(hedgeChoice);
@@ -239,43 +162,17 @@
     };
 
     const startAttempt = (choice: ServerChoice): void => {
-        const startedAt = clock();
-        const { server } = choice;
-        const remainingMs = Math.max(1, Math.floor(req.deadlineAt - startedAt));
-        triedServerNumbers.add(server.number);
+        triedServerNumbers.add(choice.server.number);
         attempts.attemptStarted();
-        pool.requestStarted(server.number, startedAt);
-        const exchange = startExchange({
-            address: server.address,
-            method: req.method,
-            target: req.target,
-            headers: [
-                ...req.headers,
-                dependencies.headerNames.deadlineMs,
-                String(remainingMs),
-                dependencies.headerNames.expectedServer,
-                server.serverId,
-                "Connection",
-                "close",
-            ],
-            body: req.body,
-            requestId: req.requestId,
-        }, {
-            headerNames: dependencies.headerNames,
-            localAddress: dependencies.localAddress,
-            connect: dependencies.connectServer,
-            connectTimeoutMs,
-            timeoutMs: remainingMs + attemptTimeoutMarginMs,
-        });
-        const attempt: Attempt = { choice, exchange, startedAt };
+        const attempt = startServerAttempt(attemptRequest, choice, dependencies);
         openAttempts.add(attempt);
         scheduleStuckCheck(attempt);
-        void exchange.result.then(result => {
+        void attempt.result.then(result => {
             openAttempts.delete(attempt);
-            recordEnd(attempt, result);
+            serverErrorAnswer = result.answer ?? serverErrorAnswer;
             const action = attempts.attemptEnded(result.outcome, clock());
             if (!isConcluded) {
-                actionHandlers[action](result, attempt);
+                actionHandlers[action](result);
             }
         });
     };
--- /dev/null
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -0,0 +1,130 @@
+/** One attempt of a request at a backend server, with the evidence that it gives about the server and the path to it. */
+import { AttemptOutcome, ServerObservation } from "@cassiapick/core";
+import type { LimitAnswer, RouteLatencyTracker, ServerChoice, ServerPool } from "@cassiapick/core";
+import type { EventLog } from "@cassiapick/operations";
+import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
+import type { Attempt, AttemptRequest } from "./attempt.js";
+import { startExchange } from "./exchange.js";
+import type { ExchangeResult } from "./exchange.js";
+import type { HeaderNames } from "./headers.js";
+import type { Connect } from "./http-call.js";
+
+/** Dependencies that all attempts of a host share. */
+export interface ServerAttemptDependencies {
+    pool: ServerPool;
+    latencies: RouteLatencyTracker;
+    headerNames: HeaderNames;
+    localAddress?: string;
+    /** Opens connections to servers. */
+    connect?: Connect;
+    clock: () => number;
+    log: EventLog;
+    /** Called when an attempt is evidence of an unhealthy server. */
+    onServerFailed: () => void;
+    /** Called with what each ended attempt shows about the limit of its server. */
+    onLimitAnswer: (answer: LimitAnswer) => void;
+    /** Age of this host's view of the fleet, in milliseconds. */
+    viewAgeMs: () => number;
+}
+
+/** A connection takes one round trip, 40 ms between regions; a lost packet is retransmitted after 200 ms. */
+const connectTimeoutMs = 450;
+
+const observationByOutcome: Record<AttemptOutcome, ServerObservation | undefined> = {
+    [AttemptOutcome.Answered]: ServerObservation.Success,
+    [AttemptOutcome.ServerError]: ServerObservation.Failure,
+    [AttemptOutcome.Declined]: ServerObservation.Stuck,
+    [AttemptOutcome.WrongServer]: undefined,
+    [AttemptOutcome.NotSent]: ServerObservation.Failure,
+    [AttemptOutcome.Broken]: ServerObservation.Failure,
+    [AttemptOutcome.TimedOut]: ServerObservation.Failure,
+    [AttemptOutcome.Cancelled]: undefined,
+};
+
+/** Starts an attempt at the chosen server. */
+export const startServerAttempt = (
+    req: AttemptRequest,
+    choice: ServerChoice,
+    dependencies: ServerAttemptDependencies,
+): Attempt => {
+    const { clock, pool, headerNames } = dependencies;
+    const { server } = choice;
+    const startedAt = clock();
+    const remainingMs = remainingMsAt(req, startedAt);
+    pool.requestStarted(server.number, startedAt);
+    const exchange = startExchange({
+        address: server.address,
+        method: req.method,
+        target: req.target,
+        headers: [
+            ...req.headers,
+            headerNames.deadlineMs,
+            String(remainingMs),
+            headerNames.expectedServer,
+            server.serverId,
+            "Connection",
+            "close",
+        ],
+        body: req.body,
+        requestId: req.requestId,
+    }, {
+        headerNames,
+        localAddress: dependencies.localAddress,
+        connect: dependencies.connect,
+        connectTimeoutMs,
+        timeoutMs: remainingMs + attemptTimeoutMarginMs,
+    });
+
+    const logEnd = (result: ExchangeResult, now: number): void => {
+        const { failureProbability, load, observationAgeMs } = choice;
+        dependencies.log.log("sendEnded", {
+            requestId: req.requestId,
+            route: req.routeName,
+            serverId: server.serverId,
+            address: server.address,
+            outcome: result.outcome,
+            detail: result.detail,
+            elapsedMs: Math.round(now - startedAt),
+            failing: Number(failureProbability.toFixed(3)),
+            load,
+            signAgeMs: observationAgeMs === undefined ? undefined : Math.round(observationAgeMs),
+            viewAgeMs: Math.round(dependencies.viewAgeMs()),
+        });
+    };
+
+    const recordEnd = (result: ExchangeResult): void => {
+        const now = clock();
+        const { outcome } = result;
+        pool.requestEnded(server.number, observationByOutcome[outcome], now);
+        if (observationByOutcome[outcome] === ServerObservation.Failure) {
+            dependencies.onServerFailed();
+        }
+        dependencies.onLimitAnswer({
+            serverId: server.serverId,
+            number: server.number,
+            limitPerS: result.limitPerS,
+            isSuccess: outcome === AttemptOutcome.Answered,
+            startedAt,
+        });
+        if (outcome === AttemptOutcome.WrongServer) {
+            pool.markReplaced(server.number);
+        }
+        if (outcome === AttemptOutcome.Answered) {
+            dependencies.latencies.record(req.routeName, now - startedAt);
+        }
+        else if (outcome !== AttemptOutcome.Cancelled) {
+            logEnd(result, now);
+        }
+    };
+
+    return {
+        result: exchange.result.then(result => {
+            recordEnd(result);
+            const { outcome, answer, detail } = result;
+            return { outcome, answer, detail, server: { number: server.number, serverId: server.serverId } };
+        }),
+        mayHaveBeenSent: exchange.mayHaveBeenSent,
+        recordStuck: () => pool.recordStuck(server.number, clock()),
+        cancel: exchange.cancel,
+    };
+};
