Blame a server for a failed connection only while others accept connections

Now a failed connection is evidence only after another one has succeeded, and a host that fails to connect tries three other servers at once to find out. While three servers or more are out of its reach its failures are not shared.

--- /dev/null
+++ b/packages/core/src/lib/gateway/pool-member.ts
@@ -0,0 +1,49 @@
+/** What an entry host knows about one backend server of its pool. */
+import type { FleetServer } from "../fleet/facts.js";
+import { initialFailureEstimate } from "./failure-estimate.js";
+import type { FailureEstimate, FailureEstimateCfg } from "./failure-estimate.js";
+
+/** What an entry host knows about one server. Times are in milliseconds of the host's clock. */
+export interface PoolMember {
+    record: FleetServer;
+    failureEstimate: FailureEstimate;
+    lastObservationAt: number | undefined;
+    /** When a request was last known to be in flight on the server, and when one was last known to fail. */
+    lastUsedAt: number;
+    lastFailureAt: number;
+    ownInFlight: number;
+    /** Requests of other hosts in flight, by host key. */
+    inFlightByHost: Map<string, number>;
+    otherHostsInFlight: number;
+    successes: number;
+    failures: number;
+    isReportDue: boolean;
+    isReplaced: boolean;
+}
+
+/** Creates a member without observations. */
+export const createPoolMember = (record: FleetServer, cfg: FailureEstimateCfg): PoolMember => ({
+    record,
+    failureEstimate: initialFailureEstimate(0, cfg),
+    lastObservationAt: undefined,
+    lastUsedAt: -Infinity,
+    lastFailureAt: -Infinity,
+    ownInFlight: 0,
+    inFlightByHost: new Map(),
+    otherHostsInFlight: 0,
+    successes: 0,
+    failures: 0,
+    isReportDue: false,
+    isReplaced: false,
+});
+
+/** Replaces the number of requests in flight that another host has reported. */
+export const setHostLoad = (member: PoolMember, hostKey: string, inFlight: number): void => {
+    member.otherHostsInFlight += inFlight - (member.inFlightByHost.get(hostKey) ?? 0);
+    if (inFlight === 0) {
+        member.inFlightByHost.delete(hostKey);
+    }
+    else {
+        member.inFlightByHost.set(hostKey, inFlight);
+    }
+};
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -56,6 +56,8 @@
     update(records: readonly FleetServer[]): void;
     /** Returns the best server for a request to `service` that is not in `excluded`; `undefined` if there is none. */
     choose(service: string, repeatability: Repeatability, excluded: ReadonlySet<number>, now: number): ServerChoice | undefined;
+    /** Returns the servers of `service`, or of all services, that are ready for requests. */
+    readyServers(service?: string): FleetServer[];
     /** Whether the servers of `service` that take requests of this host are known to have free slots in total. */
     hasFreeSlots(service: string, now: number): boolean;
     requestStarted(number: number, now: number): void;
@@ -63,6 +65,8 @@
     requestEnded(number: number, observation: ServerObservation | undefined, now: number): void;
     /** Records that a request in flight takes far longer than usual. */
     recordStuck(number: number, now: number): void;
+    /** Records that the server accepted no connection; other hosts learn of it if `isShared`. */
+    recordConnectFailure(number: number, isShared: boolean, now: number): void;
     /** Records that another server answered at the server's address. */
     markReplaced(number: number): void;
     /** Applies a report of another host of the same availability zone. */
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -7,9 +7,10 @@
  */
 import { ServingState } from "../fleet/facts.js";
 import type { FleetServer } from "../fleet/facts.js";
-import { failureProbabilityAt, initialFailureEstimate, ServerObservation, updateFailureEstimate } from "./failure-estimate.js";
-import type { FailureEstimate } from "./failure-estimate.js";
+import { failureProbabilityAt, ServerObservation, updateFailureEstimate } from "./failure-estimate.js";
 import { Repeatability } from "./gateway-config.js";
+import { createPoolMember, setHostLoad } from "./pool-member.js";
+import type { PoolMember } from "./pool-member.js";
 import { defaultSelectionWeights } from "./selection-weights.js";
 import type { ServerChoice, ServerPool, ServerPoolCfg, ServerReport } from "./server-pool-types.js";
 import { createServiceDegradationTracker } from "./service-degradation-tracker.js";
@@ -25,53 +26,22 @@
 /** Utilization that is assumed when the own availability zone has no server of a service. */
 const assumedUtilization = 0.4;
 
-/** A server of the pool. */
-interface Member {
-    record: FleetServer;
-    failureEstimate: FailureEstimate;
-    lastObservationAt: number | undefined;
-    /** When a request was last known to be in flight on the server, and when one was last known to fail. */
-    lastUsedAt: number;
-    lastFailureAt: number;
-    ownInFlight: number;
-    /** Requests of other hosts in flight, by host key. */
-    inFlightByHost: Map<string, number>;
-    otherHostsInFlight: number;
-    successes: number;
-    failures: number;
-    isReportDue: boolean;
-    isReplaced: boolean;
-}
-
 /** Creates the pool of one entry host. */
 export const createServerPool = (cfg: ServerPoolCfg): ServerPool => {
-    const members = new Map<number, Member>();
+    const members = new Map<number, PoolMember>();
     const numberByServerId = new Map<string, number>();
-    const membersByService = new Map<string, Set<Member>>();
+    const membersByService = new Map<string, Set<PoolMember>>();
     const { availabilityZone, regions } = cfg.locality;
     const degradation = createServiceDegradationTracker(Object.keys(regions).length);
     const weights = cfg.weights ?? defaultSelectionWeights;
 
-    const remove = (member: Member): void => {
+    const remove = (member: PoolMember): void => {
         members.delete(member.record.number);
         membersByService.get(member.record.service)?.delete(member);
     };
 
     const add = (record: FleetServer): void => {
-        const member: Member = {
-            record,
-            failureEstimate: initialFailureEstimate(0, weights.failureEstimate),
-            lastObservationAt: undefined,
-            lastUsedAt: -Infinity,
-            lastFailureAt: -Infinity,
-            ownInFlight: 0,
-            inFlightByHost: new Map(),
-            otherHostsInFlight: 0,
-            successes: 0,
-            failures: 0,
-            isReportDue: false,
-            isReplaced: false,
-        };
+        const member = createPoolMember(record, weights.failureEstimate);
         members.set(record.number, member);
         numberByServerId.set(record.serverId, record.number);
         const serviceMembers = membersByService.get(record.service) ?? new Set();
@@ -130,14 +100,14 @@
     };
 
     /** Load is reported within an availability zone only; other zones are assumed to have this zone's average utilization. */
-    const estimatedLoad = (member: Member, utilization: number): number => {
+    const estimatedLoad = (member: PoolMember, utilization: number): number => {
         const knownInFlight = member.ownInFlight + member.otherHostsInFlight;
         return member.record.availabilityZone === availabilityZone
             ? knownInFlight
             : knownInFlight + utilization * member.record.slots;
     };
 
-    const expectedCost = (member: Member, repeatability: Repeatability, utilization: number, now: number): number => {
+    const expectedCost = (member: PoolMember, repeatability: Repeatability, utilization: number, now: number): number => {
         const { record } = member;
         const load = estimatedLoad(member, utilization);
         const queued = Math.max(0, load + 1 - record.slots);
@@ -161,26 +131,28 @@
      * worse than that of servers in use, so a service's requests would concentrate on few servers. Requests that may be
      * repeated always probe; others only while the service is degraded.
      */
-    const isProbeDue = (member: Member, now: number): boolean =>
+    const isProbeDue = (member: PoolMember, now: number): boolean =>
         member.record.availabilityZone === availabilityZone && !member.record.silent
         && now - member.lastUsedAt > idleServerMs && now - member.lastFailureAt > probeDelayMs;
 
     /** Whether a server has just warmed up and needs a first request, without which no host would observe that it is healthy. */
-    const isNewlyWarm = (member: Member): boolean => {
+    const isNewlyWarm = (member: PoolMember): boolean => {
         const warmForMs = cfg.wallClock() - member.record.warmAt;
         return member.lastUsedAt === -Infinity && member.record.availabilityZone === availabilityZone && !member.record.silent
             && warmForMs >= 0 && warmForMs < newServerMs;
     };
 
-    const isWithinLimit = (member: Member, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
+    const isWithinLimit = (member: PoolMember, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
+
+    const isReady = (member: PoolMember): boolean => member.record.state === ServingState.Ready && !member.isReplaced;
 
-    const isUsable = (member: Member, excluded: ReadonlySet<number>, now: number): boolean =>
-        member.record.state === ServingState.Ready && !member.isReplaced && !excluded.has(member.record.number)
+    const isUsable = (member: PoolMember, excluded: ReadonlySet<number>, now: number): boolean =>
+        isReady(member) && !excluded.has(member.record.number)
         && isWithinLimit(member, now)
         && member.ownInFlight + member.otherHostsInFlight < member.record.slots + weights.maxRequestsBeyondSlots;
 
     /** Whether a refusal is better for the caller than an attempt at this server. */
-    const isRefusalBetter = (member: Member, repeatability: Repeatability, now: number): boolean =>
+    const isRefusalBetter = (member: PoolMember, repeatability: Repeatability, now: number): boolean =>
         repeatability === Repeatability.AtMostOnce && cfg.limits?.isLimited(member.record.number) === true
         && failureProbabilityAt(member.failureEstimate, now, weights.failureEstimate) > weights.maxLimitedFailureProbability;
 
@@ -192,7 +164,7 @@
     ): ServerChoice | undefined => {
         const utilization = updateUtilization(service, now);
         const mayProbe = repeatability === Repeatability.Repeatable || degradation.isDegraded(service, now);
-        let best: Member | undefined;
+        let best: PoolMember | undefined;
         let bestCost = Infinity;
         for (const member of membersByService.get(service) ?? []) {
             if (!isUsable(member, excluded, now)) {
@@ -226,7 +198,7 @@
         return freeSlots > 0;
     };
 
-    const recordObservation = (member: Member, observation: ServerObservation, now: number): void => {
+    const recordObservation = (member: PoolMember, observation: ServerObservation, now: number): void => {
         member.failureEstimate = updateFailureEstimate(member.failureEstimate, observation, now, weights.failureEstimate);
         member.lastObservationAt = now;
         if (observation === ServerObservation.Failure) {
@@ -240,6 +212,9 @@
     return {
         update,
         choose,
+        readyServers: service =>
+            [...(service === undefined ? members.values() : membersByService.get(service) ?? [])]
+                .filter(isReady).map(({ record }) => record),
         hasFreeSlots,
         requestStarted: (number, now) => {
             const member = members.get(number);
@@ -272,6 +247,15 @@
                 member.isReportDue = true;
             }
         },
+        recordConnectFailure: (number, isShared, now) => {
+            const member = members.get(number);
+            if (member !== undefined) {
+                recordObservation(member, ServerObservation.Failure, now);
+                degradation.record(member.record.service, ServerObservation.Failure, now);
+                member.failures += isShared ? 1 : 0;
+                member.isReportDue ||= isShared;
+            }
+        },
         markReplaced: number => {
             const member = members.get(number);
             if (member !== undefined) {
@@ -286,13 +270,7 @@
             if (report.inFlight > 0) {
                 member.lastUsedAt = now;
             }
-            member.otherHostsInFlight += report.inFlight - (member.inFlightByHost.get(hostKey) ?? 0);
-            if (report.inFlight === 0) {
-                member.inFlightByHost.delete(hostKey);
-            }
-            else {
-                member.inFlightByHost.set(hostKey, report.inFlight);
-            }
+            setHostLoad(member, hostKey, report.inFlight);
             const observations = [
                 ...Array<ServerObservation>(report.successes).fill(ServerObservation.Success),
                 ...Array<ServerObservation>(report.failures).fill(ServerObservation.Failure),
@@ -313,8 +291,7 @@
         },
         removeHostLoad: hostKey => {
             for (const member of members.values()) {
-                member.otherHostsInFlight -= member.inFlightByHost.get(hostKey) ?? 0;
-                member.inFlightByHost.delete(hostKey);
+                setHostLoad(member, hostKey, 0);
             }
         },
         removeAllHostLoads: () => {
--- /dev/null
+++ b/packages/core/src/test/server-reach_test.ts
@@ -0,0 +1,85 @@
+import { expect } from "chai";
+import { createServerReach } from "../index.js";
+import type { ServerReach } from "../index.js";
+
+/** Servers 1 to 4 are of service "a", 5 to 8 of service "b", and 9 is the only one of service "c". */
+const serviceOf = (number: number): string => {
+    if (number === 9) {
+        return "c";
+    }
+    return number <= 4 ? "a" : "b";
+};
+const target = (number: number): { number: number; service: string; } => ({ number, service: serviceOf(number) });
+const sizes: Record<string, number> = { a: 4, b: 4, c: 1 };
+
+/** A positive number is a connection to that server, and a negative one a failed connection. */
+type Step = number;
+
+const play = (reach: ServerReach, steps: readonly Step[], stepMs = 10): { number: number; isShared: boolean; }[] =>
+    steps.flatMap((step, index) => {
+        const now = index * stepMs;
+        if (step > 0) {
+            return reach.connected(target(step), now);
+        }
+        reach.notConnected(target(-step), now);
+        return [];
+    });
+
+const create = (): ServerReach => createServerReach({ serverCount: service => service === undefined ? 9 : sizes[service] ?? 0 });
+
+interface Case {
+    name: string;
+    steps: Step[];
+    stepMs?: number;
+    /** Services whose path is lost; "*" stands for all. */
+    lost: string[];
+    /** Servers whose failure is evidence, and whether other hosts learn of it. */
+    confirmed?: [number: number, isShared: boolean][];
+    reachable?: number[];
+}
+
+const cases: Case[] = [
+    { name: "a single failure", steps: [-1], lost: [] },
+    { name: "failures of two servers, one of them repeatedly", steps: [-1, -2, -1, -1], lost: [] },
+    { name: "failures of three servers of several services", steps: [-1, -2, -5], lost: ["*"] },
+    { name: "failures of three servers of one service while another accepts", steps: [-1, -2, 5, -3], lost: ["a"] },
+    { name: "the failure of the only server of a service while others accept", steps: [1, -9], lost: ["c"] },
+    { name: "failures of three servers within a long time", steps: [-1, -2, -3], stepMs: 4000, lost: [] },
+    { name: "a success between failures", steps: [-1, -2, 3, -4, -5], lost: [] },
+    { name: "one success after the loss", steps: [-1, -2, -3, 4], lost: ["*"], reachable: [4] },
+    { name: "three successes after the loss", steps: [-1, -2, -5, 1, 2, 6], lost: [] },
+    { name: "three successes with a failure between them", steps: [-1, -2, -5, 1, 2, -3, 6], lost: ["*"], reachable: [1, 2, 6] },
+    {
+        name: "a failure of a server that had accepted since the loss",
+        steps: [-1, -2, -5, 1, 2, -1],
+        lost: ["*"],
+        reachable: [2],
+    },
+    { name: "a failure and a success of another server", steps: [-1, 2], lost: [], confirmed: [[1, true]] },
+    { name: "a failure and a success of the same server", steps: [-1, 1], lost: [], confirmed: [] },
+    { name: "a loss and the return of the path", steps: [-1, -2, -5, 6, 7, 8], lost: [], confirmed: [] },
+    {
+        name: "failures of many servers of which others can be reached",
+        steps: [-1, 2, -5, 6, -3, 2],
+        lost: [],
+        confirmed: [[1, true], [5, true], [3, false]],
+    },
+];
+
+// Guards against hosts that take the loss of their own network path for failures of healthy servers.
+describe("reach of an entry host", () => {
+    for (const { name, steps, stepMs, lost, confirmed, reachable } of cases) {
+        it(`${lost.length === 0 ? "is not lost" : "is lost"} after ${name}`, () => {
+            const reach = create();
+            const failures = play(reach, steps, stepMs);
+            expect(reach.lostServices().map(service => service ?? "*")).to.deep.equal(lost);
+            if (confirmed !== undefined) {
+                expect(failures.map(({ number, isShared }) => [number, isShared])).to.deep.equal(confirmed);
+            }
+            if (reachable !== undefined) {
+                const found = [1, 2, 3, 4, 5, 6, 7, 8, 9].filter(number => reach.isReachable(target(number)));
+                expect(found).to.deep.equal(reachable);
+            }
+        });
+    }
+});
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -2,6 +2,7 @@
 import {
     applyDelta,
     createHostRetryBudget,
+    createPathMonitor,
     createRouteIndex,
     createRouteLatencyTracker,
     createServerLimits,
@@ -18,9 +19,11 @@
 import type { RoutingResult } from "./caller-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import type { HeaderNames } from "./headers.js";
+import { connectTcp } from "./http-call.js";
 import type { Connect } from "./http-call.js";
 import { runRequest } from "./request-runner.js";
 import { createStateLink } from "./state-link.js";
+import { tryConnect } from "./try-connect.js";
 
 /** Options of {@link startEntryGateway}. */
 export interface EntryGatewayOptions {
@@ -68,6 +71,8 @@
 const unknownConfigRetryMs = 400;
 /** Requests wait for the first configuration until this long after the start, in milliseconds. */
 const firstConfigTimeoutMs = 1500;
+/** Interval at which servers whose path is lost may be tried, in milliseconds. */
+const pathTickMs = 100;
 /** Number of entry hosts that share the retry reserve, assumed until a state host sends the actual number. */
 const initialHostCount = 50;
 
@@ -87,6 +92,19 @@
             requestStarted: (number, now) => limits.requestStarted(number, now),
         },
     });
+    const connectServer = options.connectServer ?? connectTcp;
+    const path = createPathMonitor({
+        servers: service => pool.readyServers(service),
+        tryConnect: (server, timeoutMs, onEnd) => tryConnect(server.address, options.listenHost, timeoutMs, connectServer, onEnd),
+        random: options.random,
+        clock,
+        onFailuresConfirmed: failures => {
+            failures.forEach(({ number, isShared }) => pool.recordConnectFailure(number, isShared, clock()));
+            link.sendReportsNow();
+        },
+        onPathChanged: ({ service = "*", isLost, lostForMs }) =>
+            log.log(isLost ? "serverPathLost" : "serverPathRestored", { service, lostForMs: Math.round(lostForMs) }),
+    });
     const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
@@ -127,12 +145,13 @@
         run: req =>
             runRequest(req, {
                 pool,
+                path,
                 retryBudget,
                 latencies,
                 random: options.random,
                 headerNames: options.headerNames,
                 localAddress: options.listenHost,
-                connect: options.connectServer,
+                connect: connectServer,
                 clock,
                 log,
                 onServerFailed: () => link.sendReportsNow(),
@@ -248,7 +267,7 @@
             log.log("hostChanged", { host: options.hostId, change: next });
         }
     };
-    const phaseTimer = setInterval(updatePhase, unknownConfigRetryMs);
+    const timers = [setInterval(updatePhase, unknownConfigRetryMs), setInterval(() => path.tick(), pathTickMs)];
 
     const stop = async (): Promise<void> => {
         const stopStartedAt = clock();
@@ -264,7 +283,7 @@
         while (callerServer.openRequestCount() > 0 && elapsed() < options.stopWithinMs - answerFlushMs) {
             await waitForNextPoll();
         }
-        clearInterval(phaseTimer);
+        timers.forEach(timer => clearInterval(timer));
         link.close();
         callerServer.close();
     };
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a request at a backend server, with the evidence that it gives about the server and the path to it. */
 import { AttemptOutcome, ServerObservation } from "@cassiapick/core";
-import type { LimitAnswer, RouteLatencyTracker, ServerChoice, ServerPool } from "@cassiapick/core";
+import type { LimitAnswer, PathMonitor, RouteLatencyTracker, ServerChoice, ServerPool } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
 import type { Attempt, AttemptRequest } from "./attempt.js";
@@ -12,6 +12,7 @@
 /** Dependencies that all attempts of a host share. */
 export interface ServerAttemptDependencies {
     pool: ServerPool;
+    path: PathMonitor;
     latencies: RouteLatencyTracker;
     headerNames: HeaderNames;
     localAddress?: string;
@@ -29,13 +30,16 @@
 
 /** A connection takes one round trip, 40 ms between regions; a lost packet is retransmitted after 200 ms. */
 const connectTimeoutMs = 450;
+/** The path is checked when a connection takes longer than this, in milliseconds. */
+const slowConnectMs = 150;
 
+/** A failed connection is evidence only if the path to other servers is intact, so the path monitor decides about it. */
 const observationByOutcome: Record<AttemptOutcome, ServerObservation | undefined> = {
     [AttemptOutcome.Answered]: ServerObservation.Success,
     [AttemptOutcome.ServerError]: ServerObservation.Failure,
     [AttemptOutcome.Declined]: ServerObservation.Stuck,
     [AttemptOutcome.WrongServer]: undefined,
-    [AttemptOutcome.NotSent]: ServerObservation.Failure,
+    [AttemptOutcome.NotSent]: undefined,
     [AttemptOutcome.Broken]: ServerObservation.Failure,
     [AttemptOutcome.TimedOut]: ServerObservation.Failure,
     [AttemptOutcome.Cancelled]: undefined,
@@ -47,11 +51,12 @@
     choice: ServerChoice,
     dependencies: ServerAttemptDependencies,
 ): Attempt => {
-    const { clock, pool, headerNames } = dependencies;
+    const { clock, pool, path, headerNames } = dependencies;
     const { server } = choice;
     const startedAt = clock();
     const remainingMs = remainingMsAt(req, startedAt);
     pool.requestStarted(server.number, startedAt);
+    const slowConnectTimer = setTimeout(() => path.check(server.service), slowConnectMs);
     const exchange = startExchange({
         address: server.address,
         method: req.method,
@@ -73,6 +78,10 @@
         connect: dependencies.connect,
         connectTimeoutMs,
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
+        onConnected: () => {
+            clearTimeout(slowConnectTimer);
+            path.connected(server);
+        },
     });
 
     const logEnd = (result: ExchangeResult, now: number): void => {
@@ -89,13 +98,18 @@
             load,
             signAgeMs: observationAgeMs === undefined ? undefined : Math.round(observationAgeMs),
             viewAgeMs: Math.round(dependencies.viewAgeMs()),
+            isPathLost: path.isServiceLost(server.service),
         });
     };
 
     const recordEnd = (result: ExchangeResult): void => {
         const now = clock();
         const { outcome } = result;
+        clearTimeout(slowConnectTimer);
         pool.requestEnded(server.number, observationByOutcome[outcome], now);
+        if (outcome === AttemptOutcome.NotSent) {
+            path.notConnected(server);
+        }
         if (observationByOutcome[outcome] === ServerObservation.Failure) {
             dependencies.onServerFailed();
         }
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -142,6 +142,12 @@
     serverUpdated: info("CP3006", "The record of a backend server has changed."),
     serverSuspected: info("CP3007", "A backend server is suspected, because requests to it fail; it is avoided."),
     serverTrusted: info("CP3008", "A backend server that was suspected gets requests again."),
+    serverPathLost: warn(
+        "CP3011",
+        "This entry host can't connect to several servers of a service ('*': of all services) and to no other, so its network path is at fault.",
+        "Check the network between this host and the backend servers.",
+    ),
+    serverPathRestored: info("CP3012", "This entry host can connect to the servers of a service ('*': of all services) again."),
     hostChanged: info("CP5002", "Another entry host joined, left or changed its state."),
     internalFault: error(
         "CP5003",
