Send requests through another entry host while a host has no path to servers

What callers saw: an entry host that can't connect to any backend server refuses every request, for as long as its path is lost: 0 of 339 first attempts served, although other entry hosts reach the servers. Callers keep the address for seconds, so the directory alone can't help them.

Cause: a host had no other way to a server than a connection of its own.

Now such a host asks another entry host, which makes one attempt at a server and returns its outcome. The first host keeps all decisions about the request: its deadline, attempts, retry budget and the servers already tried. The other host answers with its own share of limits and its own view of leaving servers. It never asks a third one. Its confirmation precedes the body, so a host that has stopped or is frozen is given up without a risk that the request runs twice.

Before: the two cases of lost-server-path_test failed (503, 20 of 20). After: they pass, 20 of 20 served, once each. lost-path-fleet_test plays cuts of 36 and 110 hosts in fake time: whole availability zones and regions, two thirds of the hosts, one service, some servers; forward_test the hop on real sockets.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -4,6 +4,7 @@
  * itself (`cassiapick-state`) serves peers, operators and entry hosts over RPC instead.
  */
 import {
+    computeEntryPeers,
     createLivenessMonitor,
     entryAddressesForCaller,
     fromLimitReportRow,
@@ -18,6 +19,7 @@
 } from "@cassiapick/core";
 import type {
     EntryHello,
+    EntryPeers,
     FleetMachine,
     GatewayConfig,
     HostAnnouncement,
@@ -116,6 +118,16 @@
             .map(({ hostId: address, availabilityZone, region }) => ({ address, availabilityZone, region }));
     };
 
+    let latestPeers: { fleet: FleetMachine; revision: number; peers: EntryPeers; } | undefined;
+    /** The peers of all entry hosts; computed again only after a change to hosts. */
+    const entryPeersOf = (fleet: FleetMachine): EntryPeers => {
+        const revision = fleet.hostsRevision();
+        if (latestPeers?.fleet !== fleet || latestPeers.revision !== revision) {
+            latestPeers = { fleet, revision, peers: computeEntryPeers(fleet.hosts()) };
+        }
+        return latestPeers.peers;
+    };
+
     const sendUpdates = (): void => {
         const fleet = driver.fleet();
         if (fleet === undefined || entryLinks.size() === 0) {
@@ -129,6 +141,7 @@
             contacts: contactsOf(fleet),
             entryHosts,
             limitShares: limitRecorder.sharesOf(fleet),
+            entryPeers: entryPeersOf(fleet),
         }, clock());
     };
 
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -1,7 +1,9 @@
 /** The entry hosts attached to one state host: tracks what each has received and sends what is missing. */
-import { diffConfig, HostRole, LinkMessageKind, toLimitShareRow, toServerRow } from "@cassiapick/core";
+import { diffConfig, HostRole, LinkMessageKind, toLimitShareRow, toPeerRow, toServerRow } from "@cassiapick/core";
 import type {
     EntryHello,
+    EntryPeer,
+    EntryPeers,
     FleetMachine,
     GatewayConfig,
     HostAnnouncement,
@@ -21,6 +23,7 @@
     /** Number of entry hosts in the fleet. */
     entryHosts: number;
     limitShares: LimitShares;
+    entryPeers: EntryPeers;
 }
 
 /** The attached entry hosts. */
@@ -61,6 +64,8 @@
     sentContacts: string;
     /** The shares of limits sent last, as JSON; "" before the first ones. */
     sentShares: string;
+    /** The list of peers sent last. */
+    sentPeers: readonly EntryPeer[];
     /** Whether the host understands shares of limits. */
     takesLimits: boolean;
     /** Whether servers and configuration were sent up to the latest snapshot. */
@@ -117,7 +122,20 @@
         }
     };
 
-    const sendUpdates = ({ fleet, config, contacts, entryHosts, limitShares }: FleetSnapshot, now: number): void => {
+    const sendPeers = (link: Link, attachedHost: AttachedHost, entryPeers: EntryPeers): void => {
+        const { host, sentPeers } = attachedHost;
+        // The list of a host is the same object while no host changes.
+        const peers = host.forwardAddress === undefined ? sentPeers : entryPeers.of(host);
+        if (peers === sentPeers) {
+            return;
+        }
+        attachedHost.sentPeers = peers;
+        if (JSON.stringify(peers) !== JSON.stringify(sentPeers)) {
+            link.send({ k: LinkMessageKind.Peers, p: peers.map(toPeerRow) } satisfies LinkMessage);
+        }
+    };
+
+    const sendUpdates = ({ fleet, config, contacts, entryHosts, limitShares, entryPeers }: FleetSnapshot, now: number): void => {
         if (config !== undefined) {
             retainConfig(config);
         }
@@ -139,6 +157,7 @@
                 attachedHost.serversRevision = revision;
             }
             sendLimitShares(link, attachedHost, limitShares);
+            sendPeers(link, attachedHost, entryPeers);
             if (config !== undefined && config.number > attachedHost.configNumber) {
                 link.send(configMessage(attachedHost, config));
                 attachedHost.configNumber = config.number;
@@ -177,8 +196,10 @@
 
     return {
         addHost: (link, hello, now) => {
-            const { hostId, address, availabilityZone, region, startedAt, phase, configNumber, serversRevision } = hello;
-            const host = { hostId, role: HostRole.Entry, address, availabilityZone, region, startedAt, state: phase };
+            const { hostId, address, forwardAddress, availabilityZone, region, startedAt, phase } = hello;
+            const { configNumber, serversRevision } = hello;
+            const role = HostRole.Entry;
+            const host = { hostId, role, address, forwardAddress, availabilityZone, region, startedAt, state: phase };
             attachedHosts.set(link, {
                 key: nextKey,
                 attachedAt: now,
@@ -187,6 +208,7 @@
                 serversRevision,
                 sentContacts: "",
                 sentShares: "",
+                sentPeers: [],
                 takesLimits: hello.takesLimits === true,
                 isUpToDate: false,
                 pendingReports: [],
--- a/packages/control/src/test/entry-links_test.ts
+++ b/packages/control/src/test/entry-links_test.ts
@@ -54,6 +54,9 @@
 const localContact: StateHostContact = { address: "10.0.0.2:80", availabilityZone: "z1", region: "r1" };
 const remoteContact: StateHostContact = { address: "10.0.0.3:80", availabilityZone: "z2", region: "r1" };
 
+const peer = { address: "10.0.0.8:81", availabilityZone: "z1" };
+const entryPeers = { of: () => [peer] };
+
 /** Returns the kinds of the messages that a state host in zone z2 sends to a host in z1 while `run` is called. */
 const sentKinds = (
     contacts: StateHostContact[],
@@ -73,7 +76,7 @@
     };
     const links = createEntryLinks("z2");
     links.addHost(link, entryHello, 0);
-    run(links, { fleet: fleetWithServer(), config, contacts, entryHosts: 1, limitShares });
+    run(links, { fleet: fleetWithServer(), config, contacts, entryHosts: 1, limitShares, entryPeers });
     return sent.map(message => message.k);
 };
 
@@ -99,6 +102,10 @@
         const kinds = sentKinds([remoteContact], updateAt([0, 100]), { ...hello, takesLimits: true });
         expect(kinds).to.deep.equal([Contacts, Servers, LinkMessageKind.LimitShares, Config]);
     });
+    it("sends peers once, to hosts that name an address for their requests", () => {
+        const kinds = sentKinds([remoteContact], updateAt([0, 100]), { ...hello, forwardAddress: "10.0.0.9:81" });
+        expect(kinds).to.deep.equal([Contacts, Servers, LinkMessageKind.Peers, Config]);
+    });
     for (const [name, contacts, times, expected] of cases) {
         it(name, () => {
             expect(sentKinds(contacts, updateAt(times))).to.deep.equal(expected);
--- a/packages/core/src/lib/fleet/facts.ts
+++ b/packages/core/src/lib/fleet/facts.ts
@@ -41,6 +41,8 @@
     role: HostRole;
     /** Where callers connect to an entry host, or entry hosts to a state host, as "host:port". */
     address: string;
+    /** Where an entry host accepts requests of other entry hosts, as "host:port"; `undefined` if it accepts none. */
+    forwardAddress?: string;
     availabilityZone: string;
     region: string;
     state: HostPhase;
--- a/packages/core/src/lib/fleet/fleet-machine.ts
+++ b/packages/core/src/lib/fleet/fleet-machine.ts
@@ -39,6 +39,8 @@
      * nothing else.
      */
     limitsRevision(): number;
+    /** The log index of the latest change to hosts since this view was created. */
+    hostsRevision(): number;
     /** The servers that changed after `revision`, oldest change first. */
     serversChangedSince(revision: number): FleetServer[];
     /** The log index of the latest server change. */
@@ -64,6 +66,7 @@
     let departedCount = 0;
     let newestRevision = 0;
     let limitsRevision = 0;
+    let hostsRevision = 0;
 
     const indexRecord = (record: FleetServer): void => {
         newestRevision = Math.max(newestRevision, record.revision);
@@ -220,6 +223,7 @@
             hosts.delete(fact.host.hostId);
             hosts.set(fact.host.hostId, { ...fact.host, keeper: fact.keeper, revision });
             limitsRevision = revision;
+            hostsRevision = revision;
         },
     };
 
@@ -253,6 +257,7 @@
         hosts: () => hosts.values(),
         limitedServers: () => [...limitedServerIds].map(serverId => servers.get(serverId)!),
         limitsRevision: () => limitsRevision,
+        hostsRevision: () => hostsRevision,
         serversChangedSince,
         serversRevision: () => newestRevision,
         toState: () => ({ published, servers: [...servers.values()], hosts: [...hosts.values()], nextNumber }),
--- /dev/null
+++ b/packages/core/src/lib/gateway/attempt-planner.ts
@@ -0,0 +1,51 @@
+/** Decides for each attempt of a request whether it goes to a backend server directly or through another entry host. */
+import type { Repeatability } from "./gateway-config.js";
+import type { PathMonitor } from "./path-monitor.js";
+import type { EntryPeer, PeerSelector } from "./peer-selector.js";
+import type { ServerChoice, ServerPool } from "./server-pool-types.js";
+
+/** What earlier attempts of a request have used. */
+export interface AttemptHistory {
+    /** Numbers of the servers that were tried. */
+    servers: ReadonlySet<number>;
+    /** Addresses of the entry hosts that were asked. */
+    peers: ReadonlySet<string>;
+    attemptCount: number;
+}
+
+/** The next attempt. */
+export type AttemptPlan =
+    | { kind: "direct"; choice: ServerChoice; }
+    | { kind: "forward"; peer: EntryPeer; }
+    /** Neither a server nor another entry host takes the request. */
+    | { kind: "none"; };
+
+/** Dependencies of {@link planAttempt}. */
+export interface AttemptPlanDependencies {
+    pool: Pick<ServerPool, "choose">;
+    path: Pick<PathMonitor, "isServiceLost">;
+    peers: Pick<PeerSelector, "choose">;
+}
+
+/**
+ * Plans an attempt of a request to `service`. While the path is lost, a server that accepts connections again gets a first attempt,
+ * and further attempts go through another host.
+ */
+export const planAttempt = (
+    service: string,
+    repeatability: Repeatability,
+    history: AttemptHistory,
+    { pool, path, peers }: AttemptPlanDependencies,
+    now: number,
+): AttemptPlan => {
+    const choice = pool.choose(service, repeatability, history.servers, now);
+    const isLost = path.isServiceLost(service);
+    if (choice !== undefined && (!isLost || history.attemptCount === 0)) {
+        return { kind: "direct", choice };
+    }
+    const peer = isLost ? peers.choose(service, history.peers, now) : undefined;
+    if (peer !== undefined) {
+        return { kind: "forward", peer };
+    }
+    return choice === undefined ? { kind: "none" } : { kind: "direct", choice };
+};
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -8,6 +8,7 @@
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { ConfigDelta, GatewayConfig } from "./gateway-config.js";
 import type { LimitShare } from "./limit-shares.js";
+import type { EntryPeer } from "./peer-selector.js";
 import type { LimitReport } from "./server-limits.js";
 import type { ServerReport } from "./server-pool-types.js";
 import type { StateHostContact } from "./state-host-selector.js";
@@ -44,6 +45,8 @@
     ViewQuery = "Q",
     /** Limits that servers named to the entry host that sends the message. */
     ServerLimits = "B",
+    /** The entry hosts that the receiver may ask to send requests for it. */
+    Peers = "N",
     /** All limits of servers, and the parts of them that the receiver may use. */
     LimitShares = "W",
 }
@@ -71,11 +74,16 @@
 /** One {@link LimitShare}. */
 export type LimitShareRow = [number: number, limitPerS: number, ratePerS: number];
 
+/** One {@link EntryPeer}. */
+export type PeerRow = [address: string, availabilityZone: string];
+
 export interface EntryHello {
     k: LinkMessageKind.EntryHello;
     hostId: string;
     /** Where callers connect, as "host:port". */
     address: string;
+    /** Where the host accepts requests of other entry hosts; hosts that name none understand no {@link LinkMessageKind.Peers}. */
+    forwardAddress?: string;
     availabilityZone: string;
     region: string;
     startedAt: number;
@@ -107,7 +115,8 @@
     | { k: LinkMessageKind.ViewAge; ageMs: number; }
     | { k: LinkMessageKind.ViewQuery; }
     | { k: LinkMessageKind.ServerLimits; r: LimitReportRow[]; }
-    | { k: LinkMessageKind.LimitShares; r: LimitShareRow[]; };
+    | { k: LinkMessageKind.LimitShares; r: LimitShareRow[]; }
+    | { k: LinkMessageKind.Peers; p: PeerRow[]; };
 
 const linkMessageKinds: ReadonlySet<unknown> = new Set(Object.values(LinkMessageKind));
 
@@ -168,3 +177,9 @@
 
 /** Decodes a share of a limit. */
 export const fromLimitShareRow = ([number, limitPerS, ratePerS]: LimitShareRow): LimitShare => ({ number, limitPerS, ratePerS });
+
+/** Encodes a peer as a row. */
+export const toPeerRow = ({ address, availabilityZone }: EntryPeer): PeerRow => [address, availabilityZone];
+
+/** Decodes a peer. */
+export const fromPeerRow = ([address, availabilityZone]: PeerRow): EntryPeer => ({ address, availabilityZone });
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -1,5 +1,7 @@
 /** Decisions of a gateway whose entry hosts serve published configurations. */
+export * from "./attempt-planner.js";
 export * from "./entry-addresses.js";
+export * from "./entry-peers.js";
 export * from "./failure-estimate.js";
 export * from "./fleet-messages.js";
 export * from "./gateway-config.js";
@@ -8,6 +10,7 @@
 export * from "./liveness-monitor.js";
 export * from "./nearest-state-host.js";
 export * from "./path-monitor.js";
+export * from "./peer-selector.js";
 export * from "./request-attempts.js";
 export * from "./route-index.js";
 export * from "./route-latency-tracker.js";
--- a/packages/core/src/lib/gateway/liveness-monitor.ts
+++ b/packages/core/src/lib/gateway/liveness-monitor.ts
@@ -98,7 +98,7 @@
 
     const isRecordedHost = (record: FleetHost | undefined, host: HostAnnouncement): boolean =>
         record?.startedAt === host.startedAt && record.state === host.state && record.keeper === cfg.stateHostId
-        && record.address === host.address;
+        && record.address === host.address && record.forwardAddress === host.forwardAddress;
 
     const departureFact = (record: FleetHost, now: number): Fact | undefined => {
         const isMonitoredHere = record.keeper === cfg.stateHostId && record.state !== HostPhase.Departed;
--- a/packages/core/src/lib/gateway/request-attempts.ts
+++ b/packages/core/src/lib/gateway/request-attempts.ts
@@ -58,6 +58,8 @@
     attemptStarted(): void;
     /** Records the end of an attempt and returns what to do next. */
     attemptEnded(outcome: AttemptOutcome, now: number): RequestAction;
+    /** Records that an attempt was turned away before it reached any server, so that it does not count. */
+    attemptWithdrawn(): void;
     /** Whether a hedged attempt may start while the first one is in flight; if so, takes a retry out of the budget. */
     tryHedge(now: number): boolean;
     /** Whether the request may have run. */
@@ -118,6 +120,10 @@
             }
             return mayRetry(outcome, now) ? RequestAction.Retry : finalAction(outcome);
         },
+        attemptWithdrawn: () => {
+            attemptCount -= 1;
+            openAttempts -= 1;
+        },
         tryHedge: now =>
             cfg.repeatability === Repeatability.Repeatable && openAttempts === 1
             && possibleRuns + openAttempts < cfg.maxServers
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -41,6 +41,8 @@
     weights?: SelectionWeights;
     /** Limits that servers named; without them, every server takes requests. */
     limits?: ServerLimitGate;
+    /** Whether this host can connect to a server; without it, every server can be reached. */
+    isReachable?: (server: FleetServer) => boolean;
 }
 
 /** Decides whether a limited server may get a request of this host. */
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -147,7 +147,7 @@
     const isReady = (member: PoolMember): boolean => member.record.state === ServingState.Ready && !member.isReplaced;
 
     const isUsable = (member: PoolMember, excluded: ReadonlySet<number>, now: number): boolean =>
-        isReady(member) && !excluded.has(member.record.number)
+        isReady(member) && !excluded.has(member.record.number) && (cfg.isReachable?.(member.record) ?? true)
         && isWithinLimit(member, now)
         && member.ownInFlight + member.otherHostsInFlight < member.record.slots + weights.maxRequestsBeyondSlots;
 
--- a/packages/gateway/src/lib/attempt.ts
+++ b/packages/gateway/src/lib/attempt.ts
@@ -1,4 +1,4 @@
-/** One attempt of a request. */
+/** What the ways of sending a request to a backend server have in common: directly, and through another entry host. */
 import type { Repeatability } from "@cassiapick/core";
 import type { RawHeaders } from "./headers.js";
 import type { HttpCallResult } from "./http-call.js";
@@ -24,6 +24,8 @@
 export interface AttemptResult extends HttpCallResult {
     /** The server that the request was sent to, or to which no connection was established; `undefined` if none was selected. */
     server?: { number: number; serverId: string; };
+    /** Whether another entry host turned the request away, so that no server was tried. */
+    isTurnedAway?: boolean;
 }
 
 /** An attempt in flight. */
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -3,11 +3,13 @@
     applyDelta,
     createHostRetryBudget,
     createPathMonitor,
+    createPeerSelector,
     createRouteIndex,
     createRouteLatencyTracker,
     createServerLimits,
     createServerPool,
     fromLimitShareRow,
+    fromPeerRow,
     fromReportRow,
     fromServerRow,
     HostPhase,
@@ -17,11 +19,13 @@
 import type { EventLog } from "@cassiapick/operations";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
+import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import type { HeaderNames } from "./headers.js";
 import { connectTcp } from "./http-call.js";
 import type { Connect } from "./http-call.js";
 import { runRequest } from "./request-runner.js";
+import type { ServerAttemptDependencies } from "./server-attempt.js";
 import { createStateLink } from "./state-link.js";
 import { tryConnect } from "./try-connect.js";
 
@@ -32,6 +36,8 @@
     listenHost: string;
     /** 0 lets the operating system choose. */
     listenPort: number;
+    /** Port on which other entry hosts may ask this one to send requests to servers; 0 lets the operating system choose. */
+    forwardPort: number;
     locality: PoolLocality;
     /** State hosts to connect to first, as "host:port". */
     seeds: readonly string[];
@@ -91,7 +97,9 @@
             maySend: (number, now) => limits.maySend(number, link.viewAgeMs(), now),
             requestStarted: (number, now) => limits.requestStarted(number, now),
         },
+        isReachable: server => path.isReachable(server),
     });
+    const peers = createPeerSelector(locality, options.random);
     const connectServer = options.connectServer ?? connectTcp;
     const path = createPathMonitor({
         servers: service => pool.readyServers(service),
@@ -138,26 +146,31 @@
             setTimeout(resolve, waitMs);
         });
 
+    const attemptDependencies: ServerAttemptDependencies = {
+        pool,
+        path,
+        latencies,
+        headerNames: options.headerNames,
+        localAddress: options.listenHost,
+        connectServer,
+        clock,
+        log,
+        onServerFailed: () => link.sendReportsNow(),
+        onLimitAnswer: answer => limits.recordAnswer(answer, clock()),
+        viewAgeMs: () => link.viewAgeMs(),
+    };
+
+    const forwardServer = createForwardServer({
+        ...attemptDependencies,
+        metrics,
+        maxBodyBytes: () => config?.limits.maxBodyBytes ?? 0,
+    });
+
     const callerServer = createCallerServer({
         headerNames: options.headerNames,
         route,
         waitForNextConfig,
-        run: req =>
-            runRequest(req, {
-                pool,
-                path,
-                retryBudget,
-                latencies,
-                random: options.random,
-                headerNames: options.headerNames,
-                localAddress: options.listenHost,
-                connect: connectServer,
-                clock,
-                log,
-                onServerFailed: () => link.sendReportsNow(),
-                onLimitAnswer: answer => limits.recordAnswer(answer, clock()),
-                viewAgeMs: () => link.viewAgeMs(),
-            }),
+        run: req => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
         clock,
         log,
         metrics,
@@ -220,11 +233,13 @@
             limits.setShares(shares, link.viewAgeMs(), clock());
             log.log("limitSharesChanged", { limited: shares.length, owned: shares.filter(share => share.ratePerS > 0).length });
         },
+        [LinkMessageKind.Peers]: ({ p }) => peers.setPeers(p.map(fromPeerRow)),
         [LinkMessageKind.HostLeft]: message => pool.removeHostLoad(String(message.h)),
     };
 
     // The first message to a state host contains the port that callers connect to.
     const port = await callerServer.listen(options.listenHost, options.listenPort);
+    const forwardPort = await forwardServer.listen(options.listenHost, options.forwardPort);
     const link = createStateLink({
         availabilityZone: locality.availabilityZone,
         region: locality.regions[locality.availabilityZone] ?? "",
@@ -237,6 +252,7 @@
             k: LinkMessageKind.EntryHello,
             hostId: options.hostId,
             address: `${options.listenHost}:${port}`,
+            forwardAddress: `${options.listenHost}:${forwardPort}`,
             availabilityZone: locality.availabilityZone,
             region: locality.regions[locality.availabilityZone] ?? "",
             startedAt,
@@ -269,23 +285,27 @@
     };
     const timers = [setInterval(updatePhase, unknownConfigRetryMs), setInterval(() => path.tick(), pathTickMs)];
 
+    const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
+
     const stop = async (): Promise<void> => {
         const stopStartedAt = clock();
         isStopping = true;
         updatePhase();
         callerServer.startDraining();
+        forwardServer.startDraining();
         const elapsed = (): number => clock() - stopStartedAt;
         const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, stopPollMs));
         while (elapsed() < options.stopWithinMs * listenFraction) {
             await waitForNextPoll();
         }
         callerServer.stopListening();
-        while (callerServer.openRequestCount() > 0 && elapsed() < options.stopWithinMs - answerFlushMs) {
+        while (openRequestCount() > 0 && elapsed() < options.stopWithinMs - answerFlushMs) {
             await waitForNextPoll();
         }
         timers.forEach(timer => clearInterval(timer));
         link.close();
         callerServer.close();
+        forwardServer.close();
     };
 
     return {
@@ -298,7 +318,9 @@
                 cassiapick_configuration_number: config?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
-                cassiapick_requests_open: callerServer.openRequestCount(),
+                cassiapick_peers: peers.size(),
+                cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
+                cassiapick_requests_open: openRequestCount(),
             }),
         stop,
     };
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -95,7 +95,7 @@
             : { kind: "rejected", outcome: rejection, detail: `status ${status}` };
     };
 
-    const call = startHttpCall(req, {
+    const call = startHttpCall({ ...req, body: () => req.body }, {
         localAddress: options.localAddress,
         connect: options.connect,
         connectTimeoutMs: options.connectTimeoutMs,
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -21,7 +21,8 @@
     method: string;
     target: string;
     headers: RawHeaders;
-    body: Buffer;
+    /** Returns the body when it is about to be sent. */
+    body: () => Buffer;
 }
 
 /** An answer with its complete body, or with its first part and the rest as `stream`. */
@@ -63,8 +64,15 @@
 export interface HttpCallOptions {
     localAddress?: string;
     connect?: Connect;
-    /** Timeout for establishing the connection, in milliseconds. */
+    /** Timeout for establishing the connection, and for the confirmation if there is one, in milliseconds. */
     connectTimeoutMs: number;
+    /**
+     * Whether the peer must confirm that it reads the request (`Expect: 100-continue`) before the body is sent. It does not run
+     * a request whose body is missing, so a peer that does not answer can be given up without a risk.
+     */
+    awaitsConfirmation?: boolean;
+    /** Longest head of the answer, in bytes; by default that of the HTTP library. */
+    maxHeadBytes?: number;
     /** Timeout for the whole call, in milliseconds. */
     timeoutMs: number;
     readHead: (res: IncomingMessage) => ResponseHead;
@@ -97,8 +105,8 @@
         resolveResult = resolve;
     });
     let isFinished = false;
-    /** Before the connection is established, no byte of the request has left this process. */
-    let isConnected = false;
+    /** Whether the peer may run the request: it has a connection, and has confirmed that it reads the request if it must. */
+    let mayRun = false;
     const socket = (options.connect ?? connectTcp)(call.address, options.localAddress);
     // If a reset has already arrived when the last bytes are read, the event loop reports an orderly end, but the socket
     // has no remote address any more. This listener must run before those that close the socket.
@@ -112,6 +120,7 @@
         path: call.target,
         headers: [...call.headers],
         setHost: false,
+        maxHeaderSize: options.maxHeadBytes,
     });
 
     const finish = (outcome: AttemptOutcome, detail: string, answer?: ServerAnswer): void => {
@@ -127,8 +136,7 @@
         }
     };
 
-    const fail = (outcome: AttemptOutcome, detail: string): void =>
-        finish(isConnected ? outcome : AttemptOutcome.NotSent, detail);
+    const fail = (outcome: AttemptOutcome, detail: string): void => finish(mayRun ? outcome : AttemptOutcome.NotSent, detail);
 
     const isComplete = (res: IncomingMessage): boolean => res.complete && !(isCloseDelimited(res.rawHeaders) && wasReset);
 
@@ -168,12 +176,25 @@
         res.on("close", () => fail(AttemptOutcome.Broken, "the answer broke off"));
     };
 
+    const sendBody = (): void => {
+        mayRun = true;
+        clearTimeout(connectTimer);
+        client.end(call.body());
+    };
+
     const connectTimer = setTimeout(() => fail(AttemptOutcome.NotSent, "no connection in time"), options.connectTimeoutMs);
     socket.once("connect", () => {
-        isConnected = true;
-        clearTimeout(connectTimer);
-        if (!isFinished) {
-            options.onConnected?.();
+        if (isFinished) {
+            return;
+        }
+        options.onConnected?.();
+        if (options.awaitsConfirmation !== true) {
+            sendBody();
+        }
+    });
+    client.once("continue", () => {
+        if (options.awaitsConfirmation === true && !isFinished) {
+            sendBody();
         }
     });
     client.on("response", res => {
@@ -187,11 +208,13 @@
     client.on("error", err => fail(AttemptOutcome.Broken, err.message));
     client.on("close", () => fail(AttemptOutcome.Broken, "the connection closed without an answer"));
     const timer = setTimeout(() => fail(AttemptOutcome.TimedOut, "no answer in time"), options.timeoutMs);
-    client.end(call.body);
+    if (options.awaitsConfirmation === true) {
+        client.flushHeaders();
+    }
 
     return {
         result,
-        mayHaveBeenSent: () => isConnected,
+        mayHaveBeenSent: () => mayRun,
         cancel: () => finish(AttemptOutcome.Cancelled, "cancelled"),
     };
 };
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -1,7 +1,8 @@
 /** Runs one request: selects servers, sends attempts, retries where that is safe, and determines the reply to the caller. */
-import { createRequestAttempts, pickDestination, RequestAction } from "@cassiapick/core";
-import type { GatewayRoute, HostRetryBudget, Random, RequestAttempts, ServerChoice } from "@cassiapick/core";
+import { createRequestAttempts, pickDestination, planAttempt, RequestAction } from "@cassiapick/core";
+import type { AttemptPlan, GatewayRoute, HostRetryBudget, PeerSelector, Random, RequestAttempts } from "@cassiapick/core";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
+import { startForwardAttempt } from "./forward-attempt.js";
 import type { RawHeaders } from "./headers.js";
 import type { ServerAnswer } from "./http-call.js";
 import { startServerAttempt } from "./server-attempt.js";
@@ -47,6 +48,8 @@
 /** Dependencies that all requests of a host share. */
 export interface RunnerDependencies extends ServerAttemptDependencies {
     retryBudget: HostRetryBudget;
+    /** The entry hosts that send requests to servers while this host has no path to them. */
+    peers: PeerSelector;
     random: Random;
 }
 
@@ -90,6 +93,7 @@
     };
     const openAttempts = new Set<Attempt>();
     const triedServerNumbers = new Set<number>();
+    const triedPeers = new Set<string>();
     const timers = new Set<NodeJS.Timeout>();
     let resolveReply: (reply: Reply) => void = () => undefined;
     let isConcluded = false;
@@ -154,21 +158,48 @@
                 return;
             }
             attempt.recordStuck();
-            const hedgeChoice = pool.choose(service, route.repeatability, triedServerNumbers, clock());
-            if (hedgeChoice !== undefined && attempts.tryHedge(clock())) {
-                startAttempt(hedgeChoice);
+            const plan = planNextAttempt();
+            if (plan.kind !== "none" && attempts.tryHedge(clock())) {
+                startAttempt(plan);
             }
         });
     };
 
-    const startAttempt = (choice: ServerChoice): void => {
-        triedServerNumbers.add(choice.server.number);
+    const planNextAttempt = (): AttemptPlan => {
+        const history = { servers: triedServerNumbers, peers: triedPeers, attemptCount: attempts.attemptCount() };
+        return planAttempt(service, route.repeatability, history, dependencies, clock());
+    };
+
+    type StartablePlan = Exclude<AttemptPlan, { kind: "none"; }>;
+    const starters: { [K in StartablePlan["kind"]]: (plan: Extract<StartablePlan, { kind: K; }>) => Attempt; } = {
+        direct: ({ choice }) => {
+            triedServerNumbers.add(choice.server.number);
+            return startServerAttempt(attemptRequest, choice, dependencies);
+        },
+        forward: ({ peer }) => {
+            triedPeers.add(peer.address);
+            return startForwardAttempt(attemptRequest, peer, triedServerNumbers, dependencies);
+        },
+    };
+
+    const startAttempt = (plan: StartablePlan): void => {
         attempts.attemptStarted();
-        const attempt = startServerAttempt(attemptRequest, choice, dependencies);
+        // The starter is looked up by the kind of the plan, which the compiler can't follow.
+        const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
         openAttempts.add(attempt);
         scheduleStuckCheck(attempt);
         void attempt.result.then(result => {
             openAttempts.delete(attempt);
+            if (result.server !== undefined) {
+                triedServerNumbers.add(result.server.number);
+            }
+            if (result.isTurnedAway === true) {
+                attempts.attemptWithdrawn();
+                if (!isConcluded && openAttempts.size === 0) {
+                    tryNextServer();
+                }
+                return;
+            }
             serverErrorAnswer = result.answer ?? serverErrorAnswer;
             const action = attempts.attemptEnded(result.outcome, clock());
             if (!isConcluded) {
@@ -178,16 +209,20 @@
     };
 
     const tryNextServer = (): void => {
-        const choice = pool.choose(service, route.repeatability, triedServerNumbers, clock());
-        if (choice !== undefined) {
-            startAttempt(choice);
+        const plan = planNextAttempt();
+        if (plan.kind !== "none") {
+            startAttempt(plan);
             return;
         }
         if (attempts.mayHaveRun()) {
             fail("no other server");
             return;
         }
-        refuse(`no server of '${service}' takes requests`);
+        refuse(
+            dependencies.path.isServiceLost(service)
+                ? `no path to the servers of '${service}', and no other entry host sends requests to them`
+                : `no server of '${service}' takes requests`,
+        );
     };
 
     schedule(Math.max(0, req.deadlineAt - clock()), () => {
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -17,7 +17,7 @@
     headerNames: HeaderNames;
     localAddress?: string;
     /** Opens connections to servers. */
-    connect?: Connect;
+    connectServer: Connect;
     clock: () => number;
     log: EventLog;
     /** Called when an attempt is evidence of an unhealthy server. */
@@ -75,7 +75,7 @@
     }, {
         headerNames,
         localAddress: dependencies.localAddress,
-        connect: dependencies.connect,
+        connect: dependencies.connectServer,
         connectTimeoutMs,
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
         onConnected: () => {
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -4,15 +4,8 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { startExchange } from "../lib/exchange.js";
 import type { ExchangeResult } from "../lib/exchange.js";
+import { headerNames } from "./test-header-names.js";
 
-const headerNames = {
-    requestId: "x-request",
-    deadlineMs: "x-deadline",
-    expectedServer: "x-expected",
-    notRun: "x-not-run",
-    signature: "x-signature",
-    serverLimit: "x-limit",
-};
 const requestId = "r1";
 const head = (status: string, headers: string[]): string =>
     [`HTTP/1.1 ${status}`, `x-request: ${requestId}`, ...headers, "", ""].join("\r\n");
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -138,6 +138,14 @@
     ),
     requestUnrouted: warn("CP4004", "No route matches a request.", "Check the host name and the path against the routes."),
     sendEnded: info("CP4005", "One attempt of a request at a backend server ended without an answer that could be passed on."),
+    requestForwarded: info(
+        "CP4007",
+        "A request was sent through another entry host, as this one has no path to the servers of its service.",
+    ),
+    forwardRefused: info(
+        "CP4008",
+        "A request of another entry host was turned away before it was sent to a server; the reason says why.",
+    ),
     callerLeft: info("CP4006", "The caller disconnected before its answer; the open attempts of its request are cancelled."),
     serverUpdated: info("CP3006", "The record of a backend server has changed."),
     serverSuspected: info("CP3007", "A backend server is suspected, because requests to it fail; it is avoided."),
