--- a/packages/core/src/lib/fleet/facts.ts
+++ b/packages/core/src/lib/fleet/facts.ts
@@ -15,6 +15,11 @@
 
 export enum HostPhase {
     Ready = "ready",
+    /**
+     * The entry host takes requests, but can connect to no backend server and sends them through other hosts; callers should connect
+     * to another host.
+     */
+    NoServerPath = "no-server-path",
     /** The host is about to stop; callers should connect to another host. */
     Leaving = "leaving",
     Departed = "gone",
--- a/packages/core/src/test/lost-path-fleet.ts
+++ b/packages/core/src/test/lost-path-fleet.ts
@@ -51,6 +51,7 @@
         atOthers: { sent: 0, served: 0 },
         afterReturn: { sent: 0, served: 0 },
         forwardedAfterReturn: 0,
+        namedCutHosts: 0,
         mostRuns: 0,
         longestRefusalMs: 0,
     };
@@ -63,18 +64,11 @@
         servers.every(server => connection(host, server) !== Connection.Established);
 
     const recordPhase = (host: SimulatedHost): void => {
-        const { hostId, zone, phase } = host;
-        const record = {
-            hostId,
-            role: HostRole.Entry,
-            address: hostId,
-            forwardAddress: hostId,
-            availabilityZone: zone,
-            region: regions[zone],
-            startedAt: 0,
-        };
+        const { hostId, zone, phase: state } = host;
+        const place = { availabilityZone: zone, region: regions[zone] };
+        const record = { hostId, role: HostRole.Entry, address: hostId, forwardAddress: hostId, ...place, startedAt: 0, state };
         timeline.after(commitMs, () => {
-            machine.apply([{ kind: FactKind.Host, host: { ...record, state: phase }, keeper: "state" }], timeline.now());
+            machine.apply([{ kind: FactKind.Host, host: record, keeper: "state" }], timeline.now());
             const peers = computeEntryPeers(machine.hosts());
             for (const other of hosts) {
                 const list = peers.of({ hostId: other.hostId, availabilityZone: other.zone, region: regions[other.zone] });
@@ -123,7 +117,13 @@
                 failures.forEach(({ number, isShared }) => pool.recordConnectFailure(number, isShared, timeline.now()));
                 sendReports(host);
             },
-            onPathChanged: () => undefined,
+            onPathChanged: () => {
+                const phase = path.isHostLost() ? HostPhase.NoServerPath : HostPhase.Ready;
+                if (phase !== host.phase) {
+                    host.phase = phase;
+                    recordPhase(host);
+                }
+            },
         });
         const host: SimulatedHost = {
             index,
@@ -309,6 +309,10 @@
         timeline.after(reportIntervalMs, tick);
     };
     tick();
+    timeline.after(cutUntilMs - 1000, () => {
+        const named = new Set(zones.flatMap(zone => entryAddressesForCaller(machine.hosts(), zone, regions[zone])));
+        outcome.namedCutHosts = hosts.filter(host => named.has(host.hostId) && isCutOff(host)).length;
+    });
     timeline.run(endMs);
     outcome.mostRuns = Math.max(...runs.values());
     return outcome;
--- a/packages/core/src/test/lost-path-fleet_test.ts
+++ b/packages/core/src/test/lost-path-fleet_test.ts
@@ -73,6 +73,7 @@
                     expect(atOthers.served / atOthers.sent, summary).to.be.at.least(0.98);
                     expect(found.mostRuns, summary).to.equal(1);
                     expect(found.forwardedAfterReturn, summary).to.equal(0);
+                    expect(found.namedCutHosts, summary).to.equal(0);
                     expect(found.afterReturn.served, summary).to.equal(found.afterReturn.sent);
                 }
             });
--- a/packages/core/src/test/lost-path-scenario.ts
+++ b/packages/core/src/test/lost-path-scenario.ts
@@ -41,6 +41,8 @@
     afterReturn: Tally;
     /** Requests that were sent through another host after the path had returned. */
     forwardedAfterReturn: number;
+    /** Hosts without a path that the directory named in the last second of the cut. */
+    namedCutHosts: number;
     mostRuns: number;
     /** Longest time that a request was held by a host before it was refused, in milliseconds. */
     longestRefusalMs: number;
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -110,8 +110,10 @@
             failures.forEach(({ number, isShared }) => pool.recordConnectFailure(number, isShared, clock()));
             link.sendReportsNow();
         },
-        onPathChanged: ({ service = "*", isLost, lostForMs }) =>
-            log.log(isLost ? "serverPathLost" : "serverPathRestored", { service, lostForMs: Math.round(lostForMs) }),
+        onPathChanged: ({ service = "*", isLost, lostForMs }) => {
+            log.log(isLost ? "serverPathLost" : "serverPathRestored", { service, lostForMs: Math.round(lostForMs) });
+            updatePhase();
+        },
     });
     const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
     const latencies = createRouteLatencyTracker();
@@ -273,10 +275,17 @@
 
     const isReady = (): boolean =>
         !isStopping && config !== undefined && pool.size() > 0
-        && (phase === HostPhase.Ready || isViewFresh() || clock() - monotonicStartMs > unconfirmedConfigFallbackMs);
+        && (phase !== HostPhase.Leaving || isViewFresh() || clock() - monotonicStartMs > unconfirmedConfigFallbackMs);
+
+    const currentPhase = (): HostPhase => {
+        if (!isReady()) {
+            return HostPhase.Leaving;
+        }
+        return path.isHostLost() ? HostPhase.NoServerPath : HostPhase.Ready;
+    };
 
     const updatePhase = (): void => {
-        const next = isReady() ? HostPhase.Ready : HostPhase.Leaving;
+        const next = currentPhase();
         if (next !== phase) {
             phase = next;
             link.sendPhase(next);
