Refuse a request whose deadline passes before its connection is established

Cause: at the deadline an attempt in flight counted as sent, also while its connection was not established. Such a request has not run, so its caller may be told so, and may try again. The class: a state that is derived from the number of attempts in place of what each has done.

request-runner_test: the case 'is refused while its connection is not established' failed before ('timed-out'), and passes now.

--- a/packages/core/src/lib/gateway/request-attempts.ts
+++ b/packages/core/src/lib/gateway/request-attempts.ts
@@ -62,7 +62,7 @@
     attemptWithdrawn(): void;
     /** Whether a hedged attempt may start while the first one is in flight; if so, takes a retry out of the budget. */
     tryHedge(now: number): boolean;
-    /** Whether the request may have run. */
+    /** Whether the request may have run because of an attempt that has ended. */
     mayHaveRun(): boolean;
     attemptCount(): number;
 }
@@ -128,7 +128,7 @@
             cfg.repeatability === Repeatability.Repeatable && openAttempts === 1
             && possibleRuns + openAttempts < cfg.maxServers
             && attemptCount < maxAttempts && hasTimeLeft(now) && cfg.tryTakeRetry(),
-        mayHaveRun: () => possibleRuns + openAttempts > 0,
+        mayHaveRun: () => possibleRuns > 0,
         attemptCount: () => attemptCount,
     };
 };
--- a/packages/core/src/test/lost-path-fleet.ts
+++ b/packages/core/src/test/lost-path-fleet.ts
@@ -314,6 +314,5 @@
         outcome.namedCutHosts = hosts.filter(host => named.has(host.hostId) && isCutOff(host)).length;
     });
     timeline.run(endMs);
-    outcome.mostRuns = Math.max(...runs.values());
-    return outcome;
+    return { ...outcome, mostRuns: Math.max(...runs.values()) };
 };
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -117,6 +117,8 @@
         resolveReply(finalReply);
     };
 
+    const mayHaveRun = (): boolean => attempts.mayHaveRun() || [...openAttempts].some(attempt => attempt.mayHaveBeenSent());
+
     const refuse = (reason: string): void => {
         const { minMs, jitterMs } = pool.hasFreeSlots(service, clock()) ? retryAfterRanges.free : retryAfterRanges.full;
         conclude({ kind: ReplyKind.Refused, retryAfterMs: minMs + jitterMs * dependencies.random.next(), reason });
@@ -214,7 +216,7 @@
             startAttempt(plan);
             return;
         }
-        if (attempts.mayHaveRun()) {
+        if (mayHaveRun()) {
             fail("no other server");
             return;
         }
@@ -226,7 +228,7 @@
     };
 
     schedule(Math.max(0, req.deadlineAt - clock()), () => {
-        if (attempts.mayHaveRun()) {
+        if (mayHaveRun()) {
             conclude({ kind: ReplyKind.TimedOut, reason: "no answer in time" });
             return;
         }
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { startExchange } from "../lib/exchange.js";
 import type { ExchangeResult } from "../lib/exchange.js";
-import { headerNames } from "./test-header-names.js";
+import { testHeaderNames as headerNames } from "./test-gateway.js";
 
 const requestId = "r1";
 const head = (status: string, headers: string[]): string =>
--- a/packages/gateway/src/test/forward_test.ts
+++ b/packages/gateway/src/test/forward_test.ts
@@ -5,7 +5,6 @@
     createRouteLatencyTracker,
     createServerPool,
     Repeatability,
-    ServingState,
 } from "@cassiapick/core";
 import type { PathMonitor, PeerSelector } from "@cassiapick/core";
 import { expect } from "chai";
@@ -19,22 +18,12 @@
 import type { ForwardServer } from "../lib/forward-server.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
 import { connectTcp } from "../lib/http-call.js";
-import { headerNames } from "./test-header-names.js";
+import { intactPath, testClock as clock, testHeaderNames as headerNames, testServer } from "./test-gateway.js";
 
 const loopback = "127.0.0.1";
 const longBodyBytes = 1024 * 1024;
 const locality = { availabilityZone: "z1", regions: { z1: "r1" } };
 const silentLog = { log: (): void => undefined };
-const clock = (): number => performance.now();
-const intactPath: PathMonitor = {
-    connected: () => undefined,
-    notConnected: () => undefined,
-    check: () => undefined,
-    tick: () => undefined,
-    isServiceLost: () => false,
-    isHostLost: () => false,
-    isReachable: () => true,
-};
 const forwardedAnswer = { "x-request": "r1", "x-signature": "s" };
 
 const listen = (server: Server | TcpServer): Promise<string> =>
@@ -67,20 +56,7 @@
             wallClock: Date.now,
             isReachable: server => path.isReachable(server),
         });
-        pool.update([{
-            number: 1,
-            serverId: "s1",
-            service: "quotes",
-            address: serverAddress,
-            availabilityZone: "z1",
-            slots: 3,
-            state: ServingState.Ready,
-            bornAt: 0,
-            warmAt: 0,
-            silent: false,
-            keeper: "",
-            revision: 1,
-        }]);
+        pool.update([{ ...testServer, address: serverAddress }]);
         const server = createForwardServer({
             pool,
             path,
--- /dev/null
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -0,0 +1,88 @@
+import {
+    createHostRetryBudget,
+    createPeerSelector,
+    createRandom,
+    createRouteLatencyTracker,
+    createServerPool,
+    Repeatability,
+    ServingState,
+} from "@cassiapick/core";
+import { expect } from "chai";
+import { createServer, Socket } from "node:net";
+import type { AddressInfo, Server } from "node:net";
+import { connectTcp } from "../lib/http-call.js";
+import type { Connect } from "../lib/http-call.js";
+import { ReplyKind, runRequest } from "../lib/request-runner.js";
+import { intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+
+const timeoutMs = 120;
+
+// Guards against a reply that says a request may have run although no byte of it was sent to a server.
+describe("a request whose deadline passes", () => {
+    let server: Server;
+    let address: string;
+    before(done => {
+        server = createServer(socket => socket.on("error", () => undefined));
+        server.listen(0, "127.0.0.1", () => {
+            address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            done();
+        });
+    });
+    after(() => {
+        server.close();
+    });
+
+    const cases: { name: string; connectServer: Connect; kind: ReplyKind; }[] = [
+        {
+            name: "is refused while its connection is not established",
+            connectServer: () => new Socket(),
+            kind: ReplyKind.Refused,
+        },
+        { name: "times out once it was sent", connectServer: connectTcp, kind: ReplyKind.TimedOut },
+    ];
+    for (const { name, connectServer, kind } of cases) {
+        it(name, async () => {
+            const random = createRandom(1);
+            const locality = { availabilityZone: "z1", regions: { z1: "r1" } };
+            const pool = createServerPool({ locality, random, wallClock: Date.now });
+            pool.update([{ ...testServer, address, state: ServingState.Ready }]);
+            const arrivedAt = testClock();
+            const run = runRequest({
+                requestId: "r1",
+                route: {
+                    name: "route",
+                    hostName: "a.example",
+                    prefix: "/",
+                    repeatability: Repeatability.AtMostOnce,
+                    timeoutMs,
+                    latencyObjectiveMs: 1000,
+                    priority: 0,
+                    maxServers: 2,
+                    destinations: [{ service: testServer.service, weight: 1 }],
+                },
+                configNumber: 1,
+                method: "GET",
+                target: "/",
+                headers: [],
+                body: Buffer.alloc(0),
+                arrivedAt,
+                deadlineAt: arrivedAt + timeoutMs,
+            }, {
+                pool,
+                path: intactPath,
+                latencies: createRouteLatencyTracker(),
+                headerNames: testHeaderNames,
+                connectServer,
+                clock: testClock,
+                log: { log: () => undefined },
+                onServerFailed: () => undefined,
+                onLimitAnswer: () => undefined,
+                viewAgeMs: () => 0,
+                retryBudget: createHostRetryBudget({ ratio: 0.2, reserve: 10, windowMs: 10_000 }, 1),
+                peers: createPeerSelector(locality, random),
+                random,
+            });
+            expect((await run.reply).kind).to.equal(kind);
+        });
+    }
+});
