Send a server nothing while it rests

Its callers waited for answers that the server did not want to give.

Cause: Retry-After in a server's answer was not read. A decline was weak evidence of an unhealthy server, which decays within seconds, and the server was chosen again. Now the host sends the server nothing until its rest is over: no request, retry, hedge or try of an idle server, and no connection that tests the path. A log line (serverRests) shows what the server asked for. When all servers of a service rest, requests are refused at once.

--- a/packages/core/src/lib/gateway/pool-member.ts
+++ b/packages/core/src/lib/gateway/pool-member.ts
@@ -19,6 +19,8 @@
     failures: number;
     isReportDue: boolean;
     isReplaced: boolean;
+    /** Until when the server has asked this host for no requests. */
+    restsUntil: number;
 }
 
 /** Creates a member without observations. */
@@ -35,6 +37,7 @@
     failures: 0,
     isReportDue: false,
     isReplaced: false,
+    restsUntil: -Infinity,
 });
 
 /** Replaces the number of requests in flight that another host has reported. */
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -58,8 +58,8 @@
     update(records: readonly FleetServer[]): void;
     /** Returns the best server for a request to `service` that is not in `excluded`; `undefined` if there is none. */
     choose(service: string, repeatability: Repeatability, excluded: ReadonlySet<number>, now: number): ServerChoice | undefined;
-    /** Returns the servers of `service`, or of all services, that are ready for requests. */
-    readyServers(service?: string): FleetServer[];
+    /** Returns the servers of `service`, or of all services, that this host may send requests to. */
+    readyServers(service: string | undefined, now: number): FleetServer[];
     /** Whether the servers of `service` that take requests of this host are known to have free slots in total. */
     hasFreeSlots(service: string, now: number): boolean;
     requestStarted(number: number, now: number): void;
@@ -69,6 +69,8 @@
     recordStuck(number: number, now: number): void;
     /** Records that the server accepted no connection; other hosts learn of it if `isShared`. */
     recordConnectFailure(number: number, isShared: boolean, now: number): void;
+    /** Records that the server asked this host for no requests until the given time. */
+    recordRest(number: number, until: number): void;
     /** Records that another server answered at the server's address. */
     markReplaced(number: number): void;
     /** Applies a report of another host of the same availability zone. */
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -144,10 +144,11 @@
 
     const isWithinLimit = (member: PoolMember, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
 
-    const isReady = (member: PoolMember): boolean => member.record.state === ServingState.Ready && !member.isReplaced;
+    const isReady = (member: PoolMember, now: number): boolean =>
+        member.record.state === ServingState.Ready && !member.isReplaced && now >= member.restsUntil;
 
     const isUsable = (member: PoolMember, excluded: ReadonlySet<number>, now: number): boolean =>
-        isReady(member) && !excluded.has(member.record.number) && (cfg.isReachable?.(member.record) ?? true)
+        isReady(member, now) && !excluded.has(member.record.number) && (cfg.isReachable?.(member.record) ?? true)
         && isWithinLimit(member, now)
         && member.ownInFlight + member.otherHostsInFlight < member.record.slots + weights.maxRequestsBeyondSlots;
 
@@ -191,7 +192,7 @@
     const hasFreeSlots = (service: string, now: number): boolean => {
         let freeSlots = 0;
         for (const member of membersByService.get(service) ?? []) {
-            if (member.record.state === ServingState.Ready && isWithinLimit(member, now)) {
+            if (isReady(member, now) && isWithinLimit(member, now)) {
                 freeSlots += member.record.slots - member.ownInFlight - member.otherHostsInFlight;
             }
         }
@@ -212,9 +213,9 @@
     return {
         update,
         choose,
-        readyServers: service =>
+        readyServers: (service, now) =>
             [...(service === undefined ? members.values() : membersByService.get(service) ?? [])]
-                .filter(isReady).map(({ record }) => record),
+                .filter(member => isReady(member, now)).map(({ record }) => record),
         hasFreeSlots,
         requestStarted: (number, now) => {
             const member = members.get(number);
@@ -256,6 +257,12 @@
                 member.isReportDue ||= isShared;
             }
         },
+        recordRest: (number, until) => {
+            const member = members.get(number);
+            if (member !== undefined) {
+                member.restsUntil = Math.max(member.restsUntil, until);
+            }
+        },
         markReplaced: number => {
             const member = members.get(number);
             if (member !== undefined) {
--- a/packages/core/src/test/lost-path-fleet.ts
+++ b/packages/core/src/test/lost-path-fleet.ts
@@ -105,7 +105,7 @@
         });
         pool.update(servers);
         const path: PathMonitor = createPathMonitor({
-            servers: service => pool.readyServers(service),
+            servers: service => pool.readyServers(service, timeline.now()),
             tryConnect: (server, timeoutMs, onEnd) => {
                 const found = connection(host, server);
                 const delayMs = found === Connection.Hanging ? timeoutMs : 2 * zoneDelay(zone, server.availabilityZone);
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -102,7 +102,7 @@
     const peers = createPeerSelector(locality, options.random);
     const connectServer = options.connectServer ?? connectTcp;
     const path = createPathMonitor({
-        servers: service => pool.readyServers(service),
+        servers: service => pool.readyServers(service, clock()),
         tryConnect: (server, timeoutMs, onEnd) => tryConnect(server.address, options.listenHost, timeoutMs, connectServer, onEnd),
         random: options.random,
         clock,
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -24,6 +24,8 @@
 export interface ExchangeResult extends HttpCallResult {
     /** Requests a second that the server takes from the whole fleet, if its answer names such a limit. */
     limitPerS?: number;
+    /** Time for which the server wants no requests of this host, in milliseconds, if its answer names one. */
+    restMs?: number;
 }
 
 /** An attempt in flight. */
@@ -58,6 +60,25 @@
     return Number.isFinite(limitPerS) && limitPerS >= 0 ? limitPerS : undefined;
 };
 
+/** Statuses of servers that turn a request away and may ask for a rest. */
+const restStatuses = new Set([429, 503]);
+/** A longer rest is not believed, in milliseconds; a server that restarts in the meantime rests no more. */
+const maxRestMs = 600_000;
+const msPerSecond = 1000;
+
+/** Reads the time in milliseconds for which a server wants no requests; `undefined` if it names none. */
+const restOf = (status: number, headers: RawHeaders): number | undefined => {
+    const value = headerValue(headers, "retry-after");
+    const restMs = value === undefined || value.trim() === "" ? NaN : msPerSecond * Number(value);
+    return restStatuses.has(status) && restMs > 0 ? Math.min(restMs, maxRestMs) : undefined;
+};
+
+/** Whether an answer comes from the server that the request was sent to, and belongs to the request. */
+const isOwnAnswer = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): boolean => {
+    const echoedId = headerValue(res.rawHeaders, names.requestId);
+    return res.statusCode !== misdirectedStatus && (requestId === undefined || echoedId === undefined || echoedId === requestId);
+};
+
 /** Returns the outcome if the status and the headers already rule the answer out. */
 const rejectionOf = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): AttemptOutcome | undefined => {
     const status = res.statusCode ?? 0;
@@ -81,14 +102,17 @@
 /** Sends a request. */
 export const startExchange = (req: ExchangeRequest, options: ExchangeOptions): Exchange => {
     const { headerNames } = options;
-    let limitPerS: number | undefined;
+    const notice: Pick<ExchangeResult, "limitPerS" | "restMs"> = {};
 
     const readHead = (res: IncomingMessage): ResponseHead => {
         const status = res.statusCode ?? 0;
         const rejection = rejectionOf(res, req.requestId, headerNames);
         // Other rejected answers may be from another server or for another request.
         if (rejection === undefined || (rejection === AttemptOutcome.Declined && status !== misdirectedStatus)) {
-            limitPerS = limitOf(res.rawHeaders, headerNames.serverLimit);
+            notice.limitPerS = limitOf(res.rawHeaders, headerNames.serverLimit);
+        }
+        if (isOwnAnswer(res, req.requestId, headerNames)) {
+            notice.restMs = restOf(status, res.rawHeaders);
         }
         return rejection === undefined
             ? { kind: "answer", status, headers: res.rawHeaders }
@@ -103,5 +127,5 @@
         onConnected: options.onConnected,
         readHead,
     });
-    return { ...call, result: call.result.then(result => ({ ...result, limitPerS })) };
+    return { ...call, result: call.result.then(result => ({ ...result, ...notice })) };
 };
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -120,6 +120,10 @@
             isSuccess: outcome === AttemptOutcome.Answered,
             startedAt,
         });
+        if (result.restMs !== undefined) {
+            pool.recordRest(server.number, now + result.restMs);
+            dependencies.log.log("serverRests", { requestId: req.requestId, serverId: server.serverId, restMs: result.restMs });
+        }
         if (outcome === AttemptOutcome.WrongServer) {
             pool.markReplaced(server.number);
         }
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -180,6 +180,41 @@
         });
     }
 
+    const restCases: { name: string; answer: string; restMs: number | undefined; }[] = [
+        {
+            name: "reads the rest of a server that declines",
+            answer: head("503 Service Unavailable", ["x-not-run: 1", "Retry-After: 1.5", "Content-Length: 0"]),
+            restMs: 1500,
+        },
+        {
+            name: "reads the rest of a server that does not state whether the request has run",
+            answer: head("503 Service Unavailable", ["Retry-After: 3", "Content-Length: 0"]),
+            restMs: 3000,
+        },
+        {
+            name: "ignores a rest that is a date",
+            answer: head("503 Service Unavailable", ["Retry-After: Fri, 31 Dec 2027 23:59:59 GMT", "Content-Length: 0"]),
+            restMs: undefined,
+        },
+        { name: "ignores a rest in a success", answer: ok("Retry-After: 3", "Content-Length: 0"), restMs: undefined },
+        {
+            name: "ignores the rest in the answer to another request",
+            answer: "HTTP/1.1 503 Busy\r\nx-request: r2\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n",
+            restMs: undefined,
+        },
+        {
+            name: "ignores the rest of another server",
+            answer: head("421 Misdirected Request", ["Retry-After: 3", "Content-Length: 0"]),
+            restMs: undefined,
+        },
+    ];
+    for (const { name, answer, restMs } of restCases) {
+        it(name, async () => {
+            const result = await runExchange(await listen(socket => socket.end(answer)));
+            expect(result.restMs, result.detail).to.equal(restMs);
+        });
+    }
+
     it("reports a refused connection as 'not-sent'", async () => {
         const port = await listen(() => undefined);
         await new Promise(resolve => server.close(resolve));
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -156,6 +156,7 @@
         "Check the network between this host and the backend servers.",
     ),
     serverPathRestored: info("CP3012", "This entry host can connect to the servers of a service ('*': of all services) again."),
+    serverRests: info("CP3013", "A backend server turned a request away and asked this entry host for no requests for a while."),
     hostChanged: info("CP5002", "Another entry host joined, left or changed its state."),
     internalFault: error(
         "CP5003",
