Send a leaving server nothing after it has said so in an answer

A host that sees the notice sends the server nothing more: no request, and no connection that tests the path. A host that forwards a request names the servers that it knows to be leaving, and learns of the notice from the other host, since it passes that answer on too. The mark ends with the process of the server.

--- a/packages/core/src/lib/gateway/pool-member.ts
+++ b/packages/core/src/lib/gateway/pool-member.ts
@@ -19,6 +19,8 @@
     failures: number;
     isReportDue: boolean;
     isReplaced: boolean;
+    /** Whether the server has stated in an answer that it is leaving. */
+    isLeaving: boolean;
     /** Until when the server has asked this host for no requests. */
     restsUntil: number;
 }
@@ -37,6 +39,7 @@
     failures: 0,
     isReportDue: false,
     isReplaced: false,
+    isLeaving: false,
     restsUntil: -Infinity,
 });
 
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -71,6 +71,10 @@
     recordConnectFailure(number: number, isShared: boolean, now: number): void;
     /** Records that the server asked this host for no requests until the given time. */
     recordRest(number: number, until: number): void;
+    /** Records that the server has stated in an answer that it is leaving. */
+    recordLeaving(number: number): void;
+    /** Returns the numbers of the servers of `service` that this host knows to be leaving. */
+    leavingServers(service: string): number[];
     /** Records that another server answered at the server's address. */
     markReplaced(number: number): void;
     /** Applies a report of another host of the same availability zone. */
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -144,8 +144,10 @@
 
     const isWithinLimit = (member: PoolMember, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
 
+    const isLeaving = (member: PoolMember): boolean => member.record.state !== ServingState.Ready || member.isLeaving;
+
     const isReady = (member: PoolMember, now: number): boolean =>
-        member.record.state === ServingState.Ready && !member.isReplaced && now >= member.restsUntil;
+        !isLeaving(member) && !member.isReplaced && now >= member.restsUntil;
 
     const isUsable = (member: PoolMember, excluded: ReadonlySet<number>, now: number): boolean =>
         isReady(member, now) && !excluded.has(member.record.number) && (cfg.isReachable?.(member.record) ?? true)
@@ -263,6 +265,13 @@
                 member.restsUntil = Math.max(member.restsUntil, until);
             }
         },
+        recordLeaving: number => {
+            const member = members.get(number);
+            if (member !== undefined) {
+                member.isLeaving = true;
+            }
+        },
+        leavingServers: service => [...membersByService.get(service) ?? []].filter(isLeaving).map(({ record }) => record.number),
         markReplaced: number => {
             const member = members.get(number);
             if (member !== undefined) {
--- a/packages/core/src/test/server-rest_test.ts
+++ b/packages/core/src/test/server-rest_test.ts
@@ -84,3 +84,49 @@
         });
     }
 });
+
+// Guards against requests and trial connections to a server that has stated that it is leaving.
+describe("a server that leaves", () => {
+    const leavingCases: { name: string; prepare: (pool: ServerPool) => void; leaving: number[]; ready: number[]; }[] = [
+        { name: "as it has stated in an answer", prepare: pool => pool.recordLeaving(1), leaving: [1], ready: [2] },
+        {
+            name: "as its record shows",
+            prepare: pool => pool.update([server(1, { state: ServingState.Draining })]),
+            leaving: [1],
+            ready: [2],
+        },
+        {
+            name: "also after its record has changed otherwise",
+            prepare: pool => {
+                pool.recordLeaving(1);
+                pool.update([server(1, { slots: 5, revision: 9 })]);
+            },
+            leaving: [1],
+            ready: [2],
+        },
+        {
+            name: "until it starts again",
+            prepare: pool => {
+                pool.recordLeaving(1);
+                pool.update([server(3, { serverId: "s1", address: "s1" })]);
+            },
+            leaving: [],
+            ready: [2, 3],
+        },
+    ];
+    for (const { name, prepare, leaving, ready } of leavingCases) {
+        it(`gets nothing ${name}`, () => {
+            const pool = createServerPool({
+                locality: { availabilityZone: "a1", regions: { a1: "a" } },
+                random: createRandom(1),
+                wallClock: () => 100_000,
+            });
+            pool.update([server(1), server(2)]);
+            prepare(pool);
+            expect(pool.leavingServers(service)).to.deep.equal(leaving);
+            expect(pool.readyServers(service, 0).map(({ number }) => number)).to.deep.equal(ready);
+            const chosen = pool.choose(service, Repeatability.AtMostOnce, new Set([2]), 0)?.server.number;
+            expect(chosen).to.equal(ready.find(number => number !== 2));
+        });
+    }
+});
--- a/packages/gateway/src/lib/attempt.ts
+++ b/packages/gateway/src/lib/attempt.ts
@@ -24,6 +24,8 @@
 export interface AttemptResult extends HttpCallResult {
     /** The server that the request was sent to, or to which no connection was established; `undefined` if none was selected. */
     server?: { number: number; serverId: string; };
+    /** Whether the server has stated that it is leaving. */
+    isLeaving?: boolean;
     /** Whether another entry host turned the request away, so that no server was tried. */
     isTurnedAway?: boolean;
 }
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -26,6 +26,8 @@
     limitPerS?: number;
     /** Time for which the server wants no requests of this host, in milliseconds, if its answer names one. */
     restMs?: number;
+    /** Whether the server has stated that it is leaving. */
+    isLeaving?: boolean;
 }
 
 /** An attempt in flight. */
@@ -102,7 +104,7 @@
 /** Sends a request. */
 export const startExchange = (req: ExchangeRequest, options: ExchangeOptions): Exchange => {
     const { headerNames } = options;
-    const notice: Pick<ExchangeResult, "limitPerS" | "restMs"> = {};
+    const notice: Pick<ExchangeResult, "limitPerS" | "restMs" | "isLeaving"> = {};
 
     const readHead = (res: IncomingMessage): ResponseHead => {
         const status = res.statusCode ?? 0;
@@ -113,6 +115,7 @@
         }
         if (isOwnAnswer(res, req.requestId, headerNames)) {
             notice.restMs = restOf(status, res.rawHeaders);
+            notice.isLeaving = headerValue(res.rawHeaders, headerNames.serverLeaving)?.trim() === "1";
         }
         return rejection === undefined
             ? { kind: "answer", status, headers: res.rawHeaders }
--- a/packages/gateway/src/lib/forward-attempt.ts
+++ b/packages/gateway/src/lib/forward-attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a request through another entry host, which sends it to a backend server. */
 import { AttemptOutcome } from "@cassiapick/core";
-import type { EntryPeer, PeerSelector } from "@cassiapick/core";
+import type { EntryPeer, PeerSelector, ServerPool } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import type { IncomingMessage } from "node:http";
 import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
@@ -19,6 +19,7 @@
 
 /** Dependencies that all attempts of a host share. */
 export interface ForwardAttemptDependencies {
+    pool: Pick<ServerPool, "leavingServers" | "recordLeaving">;
     peers: PeerSelector;
     localAddress?: string;
     clock: () => number;
@@ -37,7 +38,7 @@
     excluded: Iterable<number>,
     dependencies: ForwardAttemptDependencies,
 ): Attempt => {
-    const { clock, log, peers } = dependencies;
+    const { clock, log, peers, pool } = dependencies;
     const startedAt = clock();
     const remainingMs = remainingMsAt(req, startedAt);
     let forwardResult: ForwardResult | undefined;
@@ -63,7 +64,8 @@
                 service: req.service,
                 repeatability: req.repeatability,
                 remainingMs: remainingMsAt(req, clock()),
-                excluded: [...excluded],
+                // The other host may not have learned yet that a server is leaving.
+                excluded: [...excluded, ...pool.leavingServers(req.service)],
                 method: req.method,
                 target: req.target,
                 headers: [...req.headers],
@@ -79,6 +81,9 @@
     });
 
     const recordEnd = ({ outcome, detail }: AttemptResult): void => {
+        if (forwardResult?.isLeaving === true && forwardResult.server !== undefined) {
+            pool.recordLeaving(forwardResult.server.number);
+        }
         if (forwardResult === undefined && outcome !== AttemptOutcome.Cancelled) {
             peers.failed(peer.address, undefined, clock());
         }
--- a/packages/gateway/src/lib/forward-protocol.ts
+++ b/packages/gateway/src/lib/forward-protocol.ts
@@ -32,6 +32,8 @@
     detail: string;
     /** Whether the host has sent nothing and can't send requests to the service now, so that others should be asked. */
     isUnavailable?: boolean;
+    /** Whether the server has stated that it is leaving. */
+    isLeaving?: boolean;
     /** The server that was tried. */
     server?: { number: number; serverId: string; };
     /** Status and headers of the server's answer; its body follows. */
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -78,19 +78,19 @@
             req.on("error", () => resolve(undefined));
         });
 
-    const deliver = (res: ServerResponse, { outcome, detail, server, answer }: AttemptResult): void => {
+    const deliver = (res: ServerResponse, { outcome, detail, server, isLeaving, answer }: AttemptResult): void => {
         if (res.destroyed) {
             answer?.stream?.destroy();
             return;
         }
         if (answer === undefined) {
-            end(res, { outcome, detail, server });
+            end(res, { outcome, detail, server, isLeaving });
             return;
         }
         const { status, headers, body, stream } = answer;
         sendResult(
             res,
-            { outcome, detail, server, answer: { status, headers: [...headers] } },
+            { outcome, detail, server, isLeaving, answer: { status, headers: [...headers] } },
             stream === undefined ? body.length : undefined,
         );
         forwardBody(res, answer);
--- a/packages/gateway/src/lib/headers.ts
+++ b/packages/gateway/src/lib/headers.ts
@@ -15,6 +15,8 @@
     signature: string;
     /** Requests a second that a server takes from the whole fleet, as a decimal number. */
     serverLimit: string;
+    /** "1" in the answers of a server that is leaving. */
+    serverLeaving: string;
 }
 
 /** Alternating header names and values, like `rawHeaders` of Node.js. */
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -120,6 +120,10 @@
             isSuccess: outcome === AttemptOutcome.Answered,
             startedAt,
         });
+        if (result.isLeaving === true) {
+            pool.recordLeaving(server.number);
+            dependencies.log.log("serverLeaving", { requestId: req.requestId, serverId: server.serverId });
+        }
         if (result.restMs !== undefined) {
             pool.recordRest(server.number, now + result.restMs);
             dependencies.log.log("serverRests", { requestId: req.requestId, serverId: server.serverId, restMs: result.restMs });
@@ -138,8 +142,8 @@
     return {
         result: exchange.result.then(result => {
             recordEnd(result);
-            const { outcome, answer, detail } = result;
-            return { outcome, answer, detail, server: { number: server.number, serverId: server.serverId } };
+            const { outcome, answer, detail, isLeaving } = result;
+            return { outcome, answer, detail, isLeaving, server: { number: server.number, serverId: server.serverId } };
         }),
         mayHaveBeenSent: exchange.mayHaveBeenSent,
         recordStuck: () => pool.recordStuck(server.number, clock()),
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -215,6 +215,27 @@
         });
     }
 
+    const leavingCases: { name: string; answer: string; isLeaving: boolean | undefined; }[] = [
+        { name: "reads in a success", answer: ok("X-Leaving: 1", "Content-Length: 0"), isLeaving: true },
+        {
+            name: "reads in an answer that declines",
+            answer: head("503 Service Unavailable", ["x-not-run: 1", "x-leaving: 1", "Content-Length: 0"]),
+            isLeaving: true,
+        },
+        { name: "does not find", answer: ok("Content-Length: 0"), isLeaving: false },
+        {
+            name: "ignores from another server",
+            answer: head("421 Misdirected Request", ["x-leaving: 1", "Content-Length: 0"]),
+            isLeaving: undefined,
+        },
+    ];
+    for (const { name, answer, isLeaving } of leavingCases) {
+        it(`${name} that the server is leaving`, async () => {
+            const result = await runExchange(await listen(socket => socket.end(answer)));
+            expect(result.isLeaving, result.detail).to.equal(isLeaving);
+        });
+    }
+
     it("reports a refused connection as 'not-sent'", async () => {
         const port = await listen(() => undefined);
         await new Promise(resolve => server.close(resolve));
--- a/packages/gateway/src/test/forward_test.ts
+++ b/packages/gateway/src/test/forward_test.ts
@@ -75,7 +75,18 @@
         return { server, address: `${loopback}:${await server.listen(loopback, 0)}` };
     };
 
-    const startAttempt = (address: string, changes: Partial<AttemptRequest> = {}, excluded: number[] = []): {
+    /** Numbers of the servers that the first host has learned to be leaving. */
+    let leaving: number[] = [];
+    beforeEach(() => {
+        leaving = [];
+    });
+
+    const startAttempt = (
+        address: string,
+        changes: Partial<AttemptRequest> = {},
+        excluded: number[] = [],
+        known: number[] = [],
+    ): {
         attempt: Attempt;
         peers: PeerSelector;
     } => {
@@ -98,7 +109,12 @@
             },
             peer,
             excluded,
-            { peers, clock, log: silentLog },
+            {
+                pool: { leavingServers: () => known, recordLeaving: number => leaving.push(number) },
+                peers,
+                clock,
+                log: silentLog,
+            },
         );
         return { attempt, peers };
     };
@@ -205,8 +221,16 @@
         });
     }
 
-    const turnedAway: { name: string; excluded?: number[]; path?: PathMonitor; prepare?: (server: ForwardServer) => void; }[] = [
+    const turnedAway: {
+        name: string;
+        excluded?: number[];
+        /** Servers that the first host knows to be leaving. */
+        leaving?: number[];
+        path?: PathMonitor;
+        prepare?: (server: ForwardServer) => void;
+    }[] = [
         { name: "has no further server", excluded: [1] },
+        { name: "knows only a server that is leaving by the first host's view", leaving: [1] },
         {
             // It must not ask a third host, or requests could go round.
             name: "has no path itself",
@@ -214,7 +238,7 @@
         },
         { name: "is stopping", prepare: server => server.startDraining() },
     ];
-    for (const { name, excluded, path, prepare } of turnedAway) {
+    for (const { name, excluded, leaving: known, path, prepare } of turnedAway) {
         it(`is turned away, without having run, by a host that ${name}`, async () => {
             let runs = 0;
             const { server, address } = await startPeer(
@@ -225,7 +249,7 @@
                 path,
             );
             prepare?.(server);
-            const { attempt, peers } = startAttempt(address, {}, excluded);
+            const { attempt, peers } = startAttempt(address, {}, excluded, known);
             const { outcome, isTurnedAway } = await attempt.result;
             expect(outcome).to.equal(AttemptOutcome.NotSent);
             expect(isTurnedAway).to.equal(true);
@@ -234,6 +258,14 @@
         });
     }
 
+    it("tells the first host that the server is leaving", async () => {
+        const { address } = await startPeer(
+            await startBackend((_req, res) => res.writeHead(200, { ...forwardedAnswer, "x-leaving": "1" }).end()),
+        );
+        await startAttempt(address).attempt.result;
+        expect(leaving).to.deep.equal([1]);
+    });
+
     it("ends at the server when the caller leaves", async () => {
         let leave: () => void = () => undefined;
         const left = new Promise<void>(resolve => {
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -9,6 +9,7 @@
     notRun: "x-not-run",
     signature: "x-signature",
     serverLimit: "x-limit",
+    serverLeaving: "x-leaving",
 };
 
 export const testClock = (): number => performance.now();
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -157,6 +157,10 @@
     ),
     serverPathRestored: info("CP3012", "This entry host can connect to the servers of a service ('*': of all services) again."),
     serverRests: info("CP3013", "A backend server turned a request away and asked this entry host for no requests for a while."),
+    serverLeaving: info(
+        "CP3014",
+        "A backend server stated in an answer that it is leaving; this entry host sends it nothing more.",
+    ),
     hostChanged: info("CP5002", "Another entry host joined, left or changed its state."),
     internalFault: error(
         "CP5003",
