Bound the time of answers without end

A server in trouble may send a body without end. Beyond 256 KB the rest of a body is streamed, and nothing ended the stream: neither the request's deadline nor its timeout held any more, so the connections to the server and to the caller stayed open until one of them closed. Now a stream is broken off one second after the timeout of its attempt; the caller sees a truncated answer. Interim responses without end are broken off after 20, not only at the deadline.

Heads, single headers, chunk sizes and trailers without end were bounded already by the HTTP parser.

--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -73,7 +73,7 @@
     awaitsConfirmation?: boolean;
     /** Longest head of the answer, in bytes; by default that of the HTTP library. */
     maxHeadBytes?: number;
-    /** Timeout for the whole call, in milliseconds. */
+    /** Timeout for the whole call, in milliseconds; the rest of a long body may take a little longer. */
     timeoutMs: number;
     readHead: (res: IncomingMessage) => ResponseHead;
     onConnected?: () => void;
@@ -82,6 +82,10 @@
 /** Longer bodies are streamed to the caller. */
 const maxBufferedBytes = 256 * 1024;
 const serverErrorStatus = 500;
+/** A body that is still being read this long after the timeout of its call is broken off, in milliseconds; it may have no end. */
+const maxStreamOverrunMs = 1000;
+/** Most interim responses (1xx) before an answer; more are taken for an answer without end. */
+const maxInterimResponses = 20;
 
 /** Whether the end of the body is marked only by the close of the connection. */
 const isCloseDelimited = (headers: RawHeaders): boolean =>
@@ -104,7 +108,9 @@
     const result = new Promise<HttpCallResult>(resolve => {
         resolveResult = resolve;
     });
+    const startedAt = performance.now();
     let isFinished = false;
+    let interimResponses = 0;
     /** Whether the peer may run the request: it has a connection, and has confirmed that it reads the request if it must. */
     let mayRun = false;
     const socket = (options.connect ?? connectTcp)(call.address, options.localAddress);
@@ -133,7 +139,13 @@
         resolveResult({ outcome, detail, answer });
         if (answer?.stream === undefined) {
             client.destroy();
+            return;
         }
+        const streamTimer = setTimeout(
+            () => client.destroy(),
+            startedAt + options.timeoutMs + maxStreamOverrunMs - performance.now(),
+        );
+        answer.stream.once("close", () => clearTimeout(streamTimer));
     };
 
     const fail = (outcome: AttemptOutcome, detail: string): void => finish(mayRun ? outcome : AttemptOutcome.NotSent, detail);
@@ -197,6 +209,12 @@
             sendBody();
         }
     });
+    client.on("information", () => {
+        interimResponses += 1;
+        if (interimResponses > maxInterimResponses) {
+            fail(AttemptOutcome.Broken, "too many interim responses");
+        }
+    });
     client.on("response", res => {
         const head = options.readHead(res);
         if (head.kind === "rejected") {
