--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -82,6 +82,13 @@
         outcome: AttemptOutcome.Answered,
         body: "hello",
     },
+    {
+        // The HTTP parser reports an error before the end of the answer has been read.
+        name: "a whole answer that is followed by bytes that are not HTTP",
+        behave: socket => socket.end(`${ok("Content-Length: 5")}hello world`),
+        outcome: AttemptOutcome.Answered,
+        body: "hello",
+    },
     { name: "a connection that closes without an answer", behave: socket => socket.end(), outcome: AttemptOutcome.Broken },
     { name: "a connection that is reset", behave: socket => socket.resetAndDestroy(), outcome: AttemptOutcome.Broken },
     {
