--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -9,6 +9,7 @@
 import { endToEndHeaders, headerValue } from "./headers.js";
 import type { HeaderNames } from "./headers.js";
 import { listenOn } from "./listen-on.js";
+import { readBody } from "./read-body.js";
 import { ReplyKind } from "./request-runner.js";
 import type { CallerRequest, Reply, RequestRun } from "./request-runner.js";
 
@@ -171,31 +172,17 @@
         return Number.isFinite(value) && value >= 0 ? value : noDeadlineMs;
     };
 
-    const readBody = (req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> =>
-        new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            req.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                if (bytes > limits.maxBodyBytes) {
-                    respond(req, res, 413, `The body is longer than ${limits.maxBodyBytes} bytes. Send a shorter one.`);
-                    resolve(undefined);
-                    req.destroy();
-                    return;
-                }
-                chunks.push(chunk);
-            });
-            req.on("end", () => resolve(Buffer.concat(chunks)));
-            req.on("close", () => resolve(undefined));
-            req.on("error", () => resolve(undefined));
-        });
-
     const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const arrivedAt = clock();
-        const body = await readBody(req, res);
-        if (body === undefined) {
+        const read = await readBody(req, limits.maxBodyBytes);
+        if (read.kind === "too-long") {
+            respond(req, res, 413, `The body is longer than ${limits.maxBodyBytes} bytes. Send a shorter one.`);
+            req.destroy();
+        }
+        if (read.kind !== "complete") {
             return;
         }
+        const { body } = read;
         const hostHeader = headerValue(req.rawHeaders, "host") ?? "";
         const target = req.url ?? "/";
         const deadlineMs = callerDeadlineMs(req);
--- a/packages/gateway/src/lib/forward-protocol.ts
+++ b/packages/gateway/src/lib/forward-protocol.ts
@@ -66,10 +66,15 @@
         && req.body instanceof Uint8Array;
 };
 
+const isServer = (value: unknown): boolean =>
+    typeof value === "object" && value !== null && "number" in value && typeof value.number === "number"
+    && "serverId" in value && typeof value.serverId === "string";
+
 const isForwardResult = (value: unknown): value is ForwardResult => {
     const result = value as Partial<ForwardResult> | null | undefined;
     return typeof result === "object" && result !== null
         && Object.values(AttemptOutcome).includes(result.outcome!) && typeof result.detail === "string"
+        && (result.server === undefined || isServer(result.server))
         && (result.answer === undefined || (typeof result.answer.status === "number" && isStringList(result.answer.headers)));
 };
 
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -11,6 +11,7 @@
 import type { ForwardRequest, ForwardResult } from "./forward-protocol.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { listenOn } from "./listen-on.js";
+import { readBody } from "./read-body.js";
 import { startServerAttempt } from "./server-attempt.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 
@@ -60,24 +61,6 @@
         res.end();
     };
 
-    const readBody = (req: IncomingMessage): Promise<Buffer | undefined> =>
-        new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            req.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                if (bytes > options.maxBodyBytes() + envelopeBytes) {
-                    resolve(undefined);
-                    req.destroy();
-                    return;
-                }
-                chunks.push(chunk);
-            });
-            req.on("end", () => resolve(Buffer.concat(chunks)));
-            req.on("close", () => resolve(undefined));
-            req.on("error", () => resolve(undefined));
-        });
-
     const deliver = (res: ServerResponse, { outcome, detail, server, isLeaving, answer }: AttemptResult): void => {
         if (res.destroyed) {
             answer?.stream?.destroy();
@@ -122,11 +105,11 @@
     };
 
     const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-        const body = await readBody(req);
-        if (body === undefined || res.destroyed) {
+        const read = await readBody(req, options.maxBodyBytes() + envelopeBytes);
+        if (read.kind === "cut" || res.destroyed) {
             return;
         }
-        const forwarded = decodeForwardRequest(body);
+        const forwarded = read.kind === "complete" ? decodeForwardRequest(read.body) : undefined;
         if (forwarded === undefined) {
             log.log("peerRejected", {
                 reason: "A request of another entry host can't be read.",
