Find hanging servers by how improbable a wait is, with the waits of all hosts of a zone

Cause: servers in a bad spell hang on the buylist deployments. A wait was one weak sign at five deviations (about 1 s where answers take 460 ms, and 0.65 of the objective before a route's fifth answer), told to others as a failure and never taken back; at the deadline, 4 to 6 s later, it counted as a new failure of a server that had mostly recovered.

Change: a wait is evidence by the survival function of the route's own answer times (log-normal with a tail, an assumption of two answers' weight at first). It grows with the wait, adds up over requests and hosts of a zone, is withdrawn when the answer comes, and becomes a hang at 3 nats, which other zones learn too; one that is answered after all is taken back. A deadline is no evidence by itself. Repeatable requests are hedged after 94 in 100 answers. Rows of reports have two more fields, which earlier versions ignore; rows of earlier versions have none.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -5,6 +5,7 @@
  */
 import {
     computeEntryPeers,
+    concernsOtherZones,
     createLivenessMonitor,
     entryAddressesForCaller,
     fromLimitReportRow,
@@ -224,7 +225,7 @@
         [LinkMessageKind.Phase]: (link, { phase }) => recordEntryHost(entryLinks.setPhase(link, phase)),
         [LinkMessageKind.Report]: (link, { r }) => {
             entryLinks.addReports(link, r);
-            if (r.some(([, , failures]) => failures > 0)) {
+            if (r.some(concernsOtherZones)) {
                 relayReports();
             }
         },
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -1,5 +1,13 @@
 /** The entry hosts attached to one state host: tracks what each has received and sends what is missing. */
-import { diffConfig, HostRole, LinkMessageKind, toLimitShareRow, toPeerRow, toServerRow } from "@cassiapick/core";
+import {
+    concernsOtherZones,
+    diffConfig,
+    HostRole,
+    LinkMessageKind,
+    toLimitShareRow,
+    toPeerRow,
+    toServerRow,
+} from "@cassiapick/core";
 import type {
     EntryHello,
     EntryPeer,
@@ -185,9 +193,7 @@
                 link.send({ k: LinkMessageKind.RelayedReports, h } satisfies LinkMessage);
             }
         }
-        const outcomes = reportingHosts.flatMap(attachedHost =>
-            attachedHost.pendingReports.filter(([, , failures]) => failures > 0)
-        );
+        const outcomes = reportingHosts.flatMap(attachedHost => attachedHost.pendingReports.filter(concernsOtherZones));
         for (const attachedHost of reportingHosts) {
             attachedHost.pendingReports = [];
         }
--- a/packages/core/src/lib/gateway/failure-estimate.ts
+++ b/packages/core/src/lib/gateway/failure-estimate.ts
@@ -16,15 +16,15 @@
 const likelihoods = {
     success: { unhealthy: 0.3, healthy: 0.985 },
     failure: { unhealthy: 0.7, healthy: 0.015 },
-    stuck: { unhealthy: 0.5, healthy: 0.05 },
+    declined: { unhealthy: 0.5, healthy: 0.05 },
 } as const;
 
 /** Evidence about a server's health. */
 export enum ServerObservation {
     Success = "success",
     Failure = "failure",
-    /** A request takes far longer than usual. */
-    Stuck = "stuck",
+    /** The server declined a request, as one with a long queue does. */
+    Declined = "declined",
 }
 
 /** Estimated failure probability of one server. */
@@ -47,6 +47,23 @@
     return cfg.prior + (estimate.probability - cfg.prior) * Math.exp(-Math.max(0, now - estimate.updatedAt) / decayMs);
 };
 
+/** Returns a probability after evidence that the server is unhealthy, in nats (log-likelihood ratio). */
+export const withEvidence = (probability: number, nats: number): number => {
+    const ratio = Math.exp(nats);
+    return probability * ratio / (probability * ratio + 1 - probability);
+};
+
+/** Returns the estimate after evidence that the server is unhealthy, in nats; negative evidence speaks for its health. */
+export const addFailureEvidence = (
+    estimate: FailureEstimate,
+    nats: number,
+    now: number,
+    cfg: FailureEstimateCfg,
+): FailureEstimate => ({
+    probability: withEvidence(failureProbabilityAt(estimate, now, cfg), nats),
+    updatedAt: Math.max(now, estimate.updatedAt),
+});
+
 /** Returns the estimate after one more observation. */
 export const updateFailureEstimate = (
     estimate: FailureEstimate,
@@ -54,11 +71,6 @@
     now: number,
     cfg: FailureEstimateCfg,
 ): FailureEstimate => {
-    const probability = failureProbabilityAt(estimate, now, cfg);
-    const { unhealthy: ifUnhealthy, healthy: ifHealthy } = likelihoods[observation];
-    const unhealthyWeight = probability * ifUnhealthy;
-    return {
-        probability: unhealthyWeight / (unhealthyWeight + (1 - probability) * ifHealthy),
-        updatedAt: Math.max(now, estimate.updatedAt),
-    };
+    const { unhealthy, healthy } = likelihoods[observation];
+    return addFailureEvidence(estimate, Math.log(unhealthy / healthy), now, cfg);
 };
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -66,7 +66,15 @@
 ];
 
 /** One {@link ServerReport}. */
-export type ReportRow = [number: number, successes: number, failures: number, inFlight: number];
+export type ReportRow = [
+    number: number,
+    successes: number,
+    failures: number,
+    inFlight: number,
+    /** Absent in rows of earlier versions, and if both are 0. */
+    waitLevel?: number,
+    hangs?: number,
+];
 
 /** One {@link LimitReport}; without `limitPerS`, the limit has ended. */
 export type LimitReportRow = [serverId: string, number: number, limitPerS?: number];
@@ -146,21 +154,24 @@
 };
 
 /** Encodes a report as a row. */
-export const toReportRow = (report: ServerReport): ReportRow => [
-    report.number,
-    report.successes,
-    report.failures,
-    report.inFlight,
-];
+export const toReportRow = ({ number, successes, failures, inFlight, waitLevel = 0, hangs = 0 }: ServerReport): ReportRow =>
+    waitLevel === 0 && hangs === 0
+        ? [number, successes, failures, inFlight]
+        : [number, successes, failures, inFlight, waitLevel, hangs];
 
 /** Decodes a report. */
-export const fromReportRow = ([number, successes, failures, inFlight]: ReportRow): ServerReport => ({
+export const fromReportRow = ([number, successes, failures, inFlight, waitLevel = 0, hangs = 0]: ReportRow): ServerReport => ({
     number,
     successes,
     failures,
     inFlight,
+    waitLevel,
+    hangs,
 });
 
+/** Whether hosts of other availability zones need the report: they receive failures and hangs only, as bytes are billed. */
+export const concernsOtherZones = ([, , failures, , , hangs = 0]: ReportRow): boolean => failures > 0 || hangs !== 0;
+
 /** Encodes a report of a limit as a row. */
 export const toLimitReportRow = ({ serverId, number, limitPerS }: LimitReport): LimitReportRow =>
     limitPerS === undefined ? [serverId, number] : [serverId, number, limitPerS];
--- a/packages/core/src/lib/gateway/pool-member.ts
+++ b/packages/core/src/lib/gateway/pool-member.ts
@@ -1,12 +1,17 @@
 /** What an entry host knows about one backend server of its pool. */
 import type { FleetServer } from "../fleet/facts.js";
-import { initialFailureEstimate } from "./failure-estimate.js";
+import { failureProbabilityAt, initialFailureEstimate, withEvidence } from "./failure-estimate.js";
 import type { FailureEstimate, FailureEstimateCfg } from "./failure-estimate.js";
+import { createMemberWaits } from "./member-waits.js";
+import type { MemberWaits } from "./member-waits.js";
 
 /** What an entry host knows about one server. Times are in milliseconds of the host's clock. */
 export interface PoolMember {
     record: FleetServer;
+    /** From ended requests and hangs. */
     failureEstimate: FailureEstimate;
+    /** Requests that wait for an answer and are not hangs yet. */
+    waits: MemberWaits;
     lastObservationAt: number | undefined;
     /** When a request was last known to be in flight on the server, and when one was last known to fail. */
     lastUsedAt: number;
@@ -15,8 +20,13 @@
     /** Requests of other hosts in flight, by host key. */
     inFlightByHost: Map<string, number>;
     otherHostsInFlight: number;
+    /** What has not been reported yet. */
     successes: number;
     failures: number;
+    /** Hangs that began less those that were answered after all. */
+    hangs: number;
+    /** Level of the waits that was reported last. */
+    reportedLevel: number;
     isReportDue: boolean;
     isReplaced: boolean;
     /** Whether the server has stated in an answer that it is leaving. */
@@ -29,6 +39,7 @@
 export const createPoolMember = (record: FleetServer, cfg: FailureEstimateCfg): PoolMember => ({
     record,
     failureEstimate: initialFailureEstimate(0, cfg),
+    waits: createMemberWaits(),
     lastObservationAt: undefined,
     lastUsedAt: -Infinity,
     lastFailureAt: -Infinity,
@@ -37,12 +48,18 @@
     otherHostsInFlight: 0,
     successes: 0,
     failures: 0,
+    hangs: 0,
+    reportedLevel: 0,
     isReportDue: false,
     isReplaced: false,
     isLeaving: false,
     restsUntil: -Infinity,
 });
 
+/** Returns the probability that the server is unhealthy, from ended and from waiting requests. */
+export const failureProbabilityOf = (member: PoolMember, now: number, cfg: FailureEstimateCfg): number =>
+    withEvidence(failureProbabilityAt(member.failureEstimate, now, cfg), member.waits.evidence(now));
+
 /** Replaces the number of requests in flight that another host has reported. */
 export const setHostLoad = (member: PoolMember, hostKey: string, inFlight: number): void => {
     member.otherHostsInFlight += inFlight - (member.inFlightByHost.get(hostKey) ?? 0);
--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -4,6 +4,7 @@
 import type { ServerObservation } from "./failure-estimate.js";
 import type { Repeatability } from "./gateway-config.js";
 import type { SelectionWeights } from "./selection-weights.js";
+import type { Survival } from "./wait-evidence.js";
 
 /** Location of an entry host. */
 export interface PoolLocality {
@@ -30,6 +31,10 @@
     successes: number;
     failures: number;
     inFlight: number;
+    /** Evidence of the requests in flight that the server is unhealthy, in steps; replaces that of the host's last report. */
+    waitLevel?: number;
+    /** Requests whose wait has become a hang, less those that were answered after all. */
+    hangs?: number;
 }
 
 /** Options of {@link createServerPool}. */
@@ -62,11 +67,13 @@
     readyServers(service: string | undefined, now: number): FleetServer[];
     /** Whether the servers of `service` that take requests of this host are known to have free slots in total. */
     hasFreeSlots(service: string, now: number): boolean;
-    requestStarted(number: number, now: number): void;
-    /** Records the end of a request; `observation` is the evidence that its outcome gives about the server, if any. */
-    requestEnded(number: number, observation: ServerObservation | undefined, now: number): void;
-    /** Records that a request in flight takes far longer than usual. */
-    recordStuck(number: number, now: number): void;
+    /** Records a request; with `survival`, a long wait for its answer is evidence against the server. */
+    requestStarted(number: number, now: number, survival?: Survival): void;
+    /**
+     * Records the end of a request that was started at `startedAt`; `observation` is the evidence that its outcome gives about the
+     * server, if any.
+     */
+    requestEnded(number: number, observation: ServerObservation | undefined, now: number, startedAt?: number): void;
     /** Records that the server accepted no connection; other hosts learn of it if `isShared`. */
     recordConnectFailure(number: number, isShared: boolean, now: number): void;
     /** Records that the server asked this host for no requests until the given time. */
@@ -79,13 +86,13 @@
     markReplaced(number: number): void;
     /** Applies a report of another host of the same availability zone. */
     applyReport(hostKey: string, report: ServerReport, now: number): void;
-    /** Applies failures from hosts of other availability zones, which do not report their successes and load. */
+    /** Applies failures and hangs from hosts of other availability zones, which do not report their successes and load. */
     applyRemoteFailures(report: ServerReport, now: number): void;
     /** Removes the load that a host has reported. */
     removeHostLoad(hostKey: string): void;
     /** Removes the load that all other hosts have reported. */
     removeAllHostLoads(): void;
-    /** Returns reports about the servers that changed since the last call. */
-    drainReports(): ServerReport[];
+    /** Returns reports about the servers that changed since the last call; to be called at least each 100 ms. */
+    drainReports(now: number): ServerReport[];
     size(): number;
 }
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -7,13 +7,16 @@
  */
 import { ServingState } from "../fleet/facts.js";
 import type { FleetServer } from "../fleet/facts.js";
-import { failureProbabilityAt, ServerObservation, updateFailureEstimate } from "./failure-estimate.js";
+import { addFailureEvidence, ServerObservation, updateFailureEstimate } from "./failure-estimate.js";
 import { Repeatability } from "./gateway-config.js";
-import { createPoolMember, setHostLoad } from "./pool-member.js";
+import { createPoolMember, failureProbabilityOf, setHostLoad } from "./pool-member.js";
 import type { PoolMember } from "./pool-member.js";
+import { createSelectionCost } from "./selection-cost.js";
 import { defaultSelectionWeights } from "./selection-weights.js";
 import type { ServerChoice, ServerPool, ServerPoolCfg, ServerReport } from "./server-pool-types.js";
 import { createServiceDegradationTracker } from "./service-degradation-tracker.js";
+import { createUtilizationTracker } from "./utilization-tracker.js";
+import { hangEvidence } from "./wait-evidence.js";
 
 /** A server counts as newly warmed up for this long after its slow start. */
 const newServerMs = 6000;
@@ -21,10 +24,6 @@
 const idleServerMs = 1600;
 /** Time after its last failure that a server gets to recover before it is probed. */
 const probeDelayMs = 2500;
-/** Time constant of the average utilization. */
-const utilizationAveragingMs = 2000;
-/** Utilization that is assumed when the own availability zone has no server of a service. */
-const assumedUtilization = 0.4;
 
 /** Creates the pool of one entry host. */
 export const createServerPool = (cfg: ServerPoolCfg): ServerPool => {
@@ -71,60 +70,9 @@
         }
     };
 
-    const distanceCost = (zone: string): number => {
-        if (zone === availabilityZone) {
-            return weights.sameZone;
-        }
-        return regions[zone] === regions[availabilityZone] ? weights.sameRegion : weights.otherRegion;
-    };
-
-    /** Average fraction of slots in use in the own availability zone, by service. */
-    const averageUtilizations = new Map<string, { utilization: number; updatedAt: number; }>();
+    const utilizations = createUtilizationTracker(availabilityZone);
 
-    const updateUtilization = (service: string, now: number): number => {
-        let inUse = 0;
-        let slots = 0;
-        for (const member of membersByService.get(service) ?? []) {
-            if (member.record.availabilityZone === availabilityZone && member.record.state === ServingState.Ready) {
-                inUse += member.ownInFlight + member.otherHostsInFlight;
-                slots += member.record.slots;
-            }
-        }
-        const utilization = slots === 0 ? assumedUtilization : Math.min(1, inUse / slots);
-        const average = averageUtilizations.get(service) ?? { utilization, updatedAt: now };
-        const decay = Math.exp(-(now - average.updatedAt) / utilizationAveragingMs);
-        average.utilization = average.utilization * decay + utilization * (1 - decay);
-        average.updatedAt = now;
-        averageUtilizations.set(service, average);
-        return average.utilization;
-    };
-
-    /** Load is reported within an availability zone only; other zones are assumed to have this zone's average utilization. */
-    const estimatedLoad = (member: PoolMember, utilization: number): number => {
-        const knownInFlight = member.ownInFlight + member.otherHostsInFlight;
-        return member.record.availabilityZone === availabilityZone
-            ? knownInFlight
-            : knownInFlight + utilization * member.record.slots;
-    };
-
-    const expectedCost = (member: PoolMember, repeatability: Repeatability, utilization: number, now: number): number => {
-        const { record } = member;
-        const load = estimatedLoad(member, utilization);
-        const queued = Math.max(0, load + 1 - record.slots);
-        const isInSlowStart = cfg.wallClock() < record.warmAt;
-        return weights.failure[repeatability]
-                * Math.max(
-                    weights.minFailureProbability,
-                    failureProbabilityAt(member.failureEstimate, now, weights.failureEstimate),
-                )
-            + weights.utilization * load / record.slots
-            + distanceCost(record.availabilityZone)
-            + weights.queueing * queued / record.slots
-            + (load + 1 > record.slots - 1 && queued === 0 ? weights.lastFreeSlot : 0)
-            + (isInSlowStart ? weights.slowStart : 0)
-            + (record.silent ? weights.silent : 0)
-            + weights.jitter * cfg.random.next();
-    };
+    const expectedCost = createSelectionCost(cfg, weights);
 
     /**
      * Whether an idle server may have recovered and should be probed. Without recent observations a server's estimate is
@@ -157,7 +105,7 @@
     /** Whether a refusal is better for the caller than an attempt at this server. */
     const isRefusalBetter = (member: PoolMember, repeatability: Repeatability, now: number): boolean =>
         repeatability === Repeatability.AtMostOnce && cfg.limits?.isLimited(member.record.number) === true
-        && failureProbabilityAt(member.failureEstimate, now, weights.failureEstimate) > weights.maxLimitedFailureProbability;
+        && failureProbabilityOf(member, now, weights.failureEstimate) > weights.maxLimitedFailureProbability;
 
     const choose = (
         service: string,
@@ -165,7 +113,7 @@
         excluded: ReadonlySet<number>,
         now: number,
     ): ServerChoice | undefined => {
-        const utilization = updateUtilization(service, now);
+        const utilization = utilizations.update(service, membersByService.get(service) ?? [], now);
         const mayProbe = repeatability === Repeatability.Repeatable || degradation.isDegraded(service, now);
         let best: PoolMember | undefined;
         let bestCost = Infinity;
@@ -185,7 +133,7 @@
         }
         return best === undefined ? undefined : {
             server: best.record,
-            failureProbability: failureProbabilityAt(best.failureEstimate, now, weights.failureEstimate),
+            failureProbability: failureProbabilityOf(best, now, weights.failureEstimate),
             load: best.ownInFlight + best.otherHostsInFlight,
             observationAgeMs: best.lastObservationAt === undefined ? undefined : now - best.lastObservationAt,
         };
@@ -207,11 +155,44 @@
         if (observation === ServerObservation.Failure) {
             member.lastFailureAt = now;
         }
-        if (observation !== ServerObservation.Stuck) {
+        if (observation !== ServerObservation.Declined) {
             member.lastUsedAt = now;
         }
     };
 
+    /** Records hangs in the own availability zone that began or, if negative, that were answered after all. */
+    const recordHangs = (member: PoolMember, hangs: number, now: number): void => {
+        addHangEvidence(member, hangs, now);
+        degradation.recordHangs(member.record.service, hangs, now);
+    };
+
+    const addHangEvidence = (member: PoolMember, hangs: number, now: number): void => {
+        if (hangs === 0) {
+            return;
+        }
+        const { failureEstimate } = member;
+        member.failureEstimate = addFailureEvidence(failureEstimate, hangs * hangEvidence, now, weights.failureEstimate);
+        member.lastObservationAt = now;
+        if (hangs > 0) {
+            member.lastFailureAt = now;
+        }
+    };
+
+    const change = (number: number, apply: (member: PoolMember) => void): void => {
+        const member = members.get(number);
+        if (member !== undefined) {
+            apply(member);
+        }
+    };
+
+    /** Turns long waits of this host into hangs, and makes a report due when the evidence of the others has changed. */
+    const updateWaits = (member: PoolMember, now: number): void => {
+        const hangs = member.waits.takeHangs(now);
+        recordHangs(member, hangs, now);
+        member.hangs += hangs;
+        member.isReportDue ||= hangs > 0 || member.waits.level(now) !== member.reportedLevel;
+    };
+
     return {
         update,
         choose,
@@ -219,22 +200,31 @@
             [...(service === undefined ? members.values() : membersByService.get(service) ?? [])]
                 .filter(member => isReady(member, now)).map(({ record }) => record),
         hasFreeSlots,
-        requestStarted: (number, now) => {
+        requestStarted: (number, now, survival) => {
             const member = members.get(number);
             if (member !== undefined) {
                 member.ownInFlight += 1;
+                if (survival !== undefined) {
+                    member.waits.started(now, survival);
+                }
                 member.lastUsedAt = now;
                 member.isReportDue = true;
                 cfg.limits?.requestStarted(number, now);
             }
         },
-        requestEnded: (number, observation, now) => {
+        requestEnded: (number, observation, now, startedAt) => {
             const member = members.get(number);
             if (member === undefined) {
                 return;
             }
             member.ownInFlight -= 1;
             member.isReportDue = true;
+            updateWaits(member, now);
+            const wasHang = startedAt !== undefined && member.waits.ended(startedAt);
+            if (wasHang && observation === ServerObservation.Success) {
+                recordHangs(member, -1, now);
+                member.hangs -= 1;
+            }
             if (observation !== undefined) {
                 recordObservation(member, observation, now);
                 degradation.record(member.record.service, observation, now);
@@ -242,14 +232,6 @@
                 member.failures += observation === ServerObservation.Failure ? 1 : 0;
             }
         },
-        recordStuck: (number, now) => {
-            const member = members.get(number);
-            if (member !== undefined) {
-                recordObservation(member, ServerObservation.Stuck, now);
-                member.failures += 1;
-                member.isReportDue = true;
-            }
-        },
         recordConnectFailure: (number, isShared, now) => {
             const member = members.get(number);
             if (member !== undefined) {
@@ -259,25 +241,19 @@
                 member.isReportDue ||= isShared;
             }
         },
-        recordRest: (number, until) => {
-            const member = members.get(number);
-            if (member !== undefined) {
+        recordRest: (number, until) =>
+            change(number, member => {
                 member.restsUntil = Math.max(member.restsUntil, until);
-            }
-        },
-        recordLeaving: number => {
-            const member = members.get(number);
-            if (member !== undefined) {
+            }),
+        recordLeaving: number =>
+            change(number, member => {
                 member.isLeaving = true;
-            }
-        },
+            }),
         leavingServers: service => [...membersByService.get(service) ?? []].filter(isLeaving).map(({ record }) => record.number),
-        markReplaced: number => {
-            const member = members.get(number);
-            if (member !== undefined) {
+        markReplaced: number =>
+            change(number, member => {
                 member.isReplaced = true;
-            }
-        },
+            }),
         applyReport: (hostKey, report, now) => {
             const member = members.get(report.number);
             if (member === undefined) {
@@ -287,6 +263,8 @@
                 member.lastUsedAt = now;
             }
             setHostLoad(member, hostKey, report.inFlight);
+            member.waits.setHostLevel(hostKey, report.waitLevel ?? 0);
+            recordHangs(member, report.hangs ?? 0, now);
             const observations = [
                 ...Array<ServerObservation>(report.successes).fill(ServerObservation.Success),
                 ...Array<ServerObservation>(report.failures).fill(ServerObservation.Failure),
@@ -302,28 +280,37 @@
                 Array<ServerObservation>(report.failures).fill(ServerObservation.Failure).forEach(observation =>
                     recordObservation(member, observation, now)
                 );
-                degradation.recordRemoteFailures(member.record.service, report.failures, now);
+                addHangEvidence(member, report.hangs ?? 0, now);
+                degradation.recordRemoteFailures(member.record.service, report.failures + (report.hangs ?? 0), now);
             }
         },
         removeHostLoad: hostKey => {
             for (const member of members.values()) {
                 setHostLoad(member, hostKey, 0);
+                member.waits.setHostLevel(hostKey, 0);
             }
         },
         removeAllHostLoads: () => {
             for (const member of members.values()) {
                 member.inFlightByHost.clear();
                 member.otherHostsInFlight = 0;
+                member.waits.removeHostLevels();
             }
         },
-        drainReports: () => {
+        drainReports: now => {
             const reports: ServerReport[] = [];
             for (const member of members.values()) {
+                if (member.ownInFlight > 0) {
+                    updateWaits(member, now);
+                }
                 if (member.isReportDue) {
-                    const { successes, failures, ownInFlight: inFlight } = member;
-                    reports.push({ number: member.record.number, successes, failures, inFlight });
+                    const { successes, failures, hangs, ownInFlight: inFlight } = member;
+                    const waitLevel = member.waits.level(now);
+                    reports.push({ number: member.record.number, successes, failures, inFlight, waitLevel, hangs });
                     member.successes = 0;
                     member.failures = 0;
+                    member.hangs = 0;
+                    member.reportedLevel = waitLevel;
                     member.isReportDue = false;
                 }
             }
--- a/packages/core/src/lib/gateway/service-degradation-tracker.ts
+++ b/packages/core/src/lib/gateway/service-degradation-tracker.ts
@@ -5,6 +5,8 @@
 export interface ServiceDegradationTracker {
     /** Records an outcome in the own availability zone. */
     record(service: string, observation: ServerObservation, now: number): void;
+    /** Counts hangs in the own availability zone as failures; negative ones were answered after all. */
+    recordHangs(service: string, hangs: number, now: number): void;
     /** Records failures in other availability zones, which do not report their successes. */
     recordRemoteFailures(service: string, failures: number, now: number): void;
     /** Whether a service fails too many of its requests, in the own availability zone or in all zones together. */
@@ -13,10 +15,19 @@
 
 /** Time constant of the exponential decay of the counts. */
 const decayMs = 3000;
-/** Failure rate above which idle servers are probed; below the 10% at which operators expect requests on most servers. */
-const degradedFailureRate = 0.085;
-/** Fewer failures than this may be chance, as an availability zone receives only a few requests a second. */
-const minFailures = 2.5;
+/** Smallest number and rate of failures at which a service is degraded. */
+interface DegradationBound {
+    failures: number;
+    rate: number;
+}
+
+/** In all zones together; below the 10% at which operators expect requests on most servers. */
+const fleetBound: DegradationBound = { failures: 2.5, rate: 0.085 };
+/** In the own zone, which receives few requests, so that chance alone often exceeds the fleet's rate. */
+const zoneBound: DegradationBound = { failures: 4, rate: 0.15 };
+
+const exceeds = (bound: DegradationBound, failures: number, outcomes: number): boolean =>
+    failures >= bound.failures && failures > bound.rate * outcomes;
 
 /** Decayed counts of one service. */
 interface OutcomeTally {
@@ -47,14 +58,19 @@
             tally.outcomes += 1;
             tally.failures += observation === ServerObservation.Success ? 0 : 1;
         },
+        recordHangs: (service, hangs, now) => {
+            const tally = decayedTally(service, now);
+            tally.outcomes = Math.max(0, tally.outcomes + hangs);
+            tally.failures = Math.max(0, tally.failures + hangs);
+        },
         recordRemoteFailures: (service, failures, now) => {
-            decayedTally(service, now).remoteFailures += failures;
+            const tally = decayedTally(service, now);
+            tally.remoteFailures = Math.max(0, tally.remoteFailures + failures);
         },
         isDegraded: (service, now) => {
             const { failures, outcomes, remoteFailures } = decayedTally(service, now);
-            const exceeds = (count: number, total: number): boolean =>
-                count >= minFailures && count > degradedFailureRate * total;
-            return exceeds(failures, outcomes) || exceeds(failures + remoteFailures, outcomes * zoneCount);
+            return exceeds(zoneBound, failures, outcomes)
+                || exceeds(fleetBound, failures + remoteFailures, outcomes * zoneCount);
         },
     };
 };
--- a/packages/core/src/test/connect-failures_test.ts
+++ b/packages/core/src/test/connect-failures_test.ts
@@ -34,7 +34,7 @@
             const pool = createPool();
             pool.recordConnectFailure(1, isShared, 0);
             expect(pool.choose("quotes", Repeatability.AtMostOnce, new Set(), 0)?.server.number).to.equal(2);
-            expect(pool.drainReports().map(({ number, failures }) => [number, failures])).to.deep.equal(reports);
+            expect(pool.drainReports(0).map(({ number, failures }) => [number, failures])).to.deep.equal(reports);
         });
     }
 });
--- a/packages/core/src/test/lost-path-reports.ts
+++ b/packages/core/src/test/lost-path-reports.ts
@@ -5,7 +5,7 @@
 
 /** Sends what `host` observed: everything to hosts of its availability zone, and failures to the others. */
 export const exchangeReports = (host: SimulatedHost, hosts: readonly SimulatedHost[], timeline: FakeTimeline): void => {
-    const reports = host.pool.drainReports();
+    const reports = host.pool.drainReports(timeline.now());
     const failures = reports.filter(report => report.failures > 0);
     for (const other of hosts) {
         const sent = other.zone === host.zone ? reports : failures;
--- a/packages/core/src/test/server-pool_test.ts
+++ b/packages/core/src/test/server-pool_test.ts
@@ -1,45 +1,9 @@
 import { expect } from "chai";
-import { createRandom, createServerPool, Repeatability, ServerObservation, ServingState } from "../index.js";
-import type { FleetServer, ServerLimitGate, ServerPool } from "../index.js";
+import { Repeatability, ServerObservation, ServingState } from "../index.js";
+import type { FleetServer, ServerPool } from "../index.js";
+import { choose, createPool, local, region, remote, server, service } from "./test-pool.js";
 
 const { AtMostOnce, Repeatable } = Repeatability;
-const regions = { a1: "a", a2: "a", b1: "b" };
-const service = "quotes";
-const noExclusions: ReadonlySet<number> = new Set();
-
-const server = (number: number, availabilityZone: string, changes: Partial<FleetServer> = {}): FleetServer => ({
-    number,
-    serverId: `s${number}`,
-    service,
-    address: `10.0.0.${number}:80`,
-    availabilityZone,
-    slots: 3,
-    state: ServingState.Ready,
-    bornAt: 0,
-    warmAt: 0,
-    silent: false,
-    keeper: "",
-    revision: number,
-    ...changes,
-});
-
-const createPool = (servers: FleetServer[], seed = 1, limits?: ServerLimitGate): ServerPool => {
-    const pool = createServerPool({
-        limits,
-        locality: { availabilityZone: "a1", regions },
-        random: createRandom(seed),
-        wallClock: () => 10_000,
-    });
-    pool.update(servers);
-    return pool;
-};
-
-const local = server(1, "a1");
-const region = server(2, "a2");
-const remote = server(3, "b1");
-
-const choose = (pool: ServerPool, now: number, repeatability = AtMostOnce, excluded = noExclusions): number | undefined =>
-    pool.choose(service, repeatability, excluded, now)?.server.number;
 
 describe("server pool", () => {
     const cases: {
@@ -261,10 +225,24 @@
     it("reports each change only once", () => {
         const pool = createPool([local]);
         pool.requestStarted(1, 0);
-        expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 0, inFlight: 1 }]);
+        expect(pool.drainReports(0)).to.deep.equal([{
+            number: 1,
+            successes: 0,
+            failures: 0,
+            inFlight: 1,
+            waitLevel: 0,
+            hangs: 0,
+        }]);
         pool.requestEnded(1, ServerObservation.Failure, 5);
-        expect(pool.drainReports()).to.deep.equal([{ number: 1, successes: 0, failures: 1, inFlight: 0 }]);
-        expect(pool.drainReports()).to.deep.equal([]);
+        expect(pool.drainReports(0)).to.deep.equal([{
+            number: 1,
+            successes: 0,
+            failures: 1,
+            inFlight: 0,
+            waitLevel: 0,
+            hangs: 0,
+        }]);
+        expect(pool.drainReports(0)).to.deep.equal([]);
     });
 
     it("discards the observations of an earlier process with the same id", () => {
--- a/packages/gateway/src/lib/attempt.ts
+++ b/packages/gateway/src/lib/attempt.ts
@@ -36,8 +36,6 @@
     readonly result: Promise<AttemptResult>;
     /** Whether the request may run on a server because of this attempt. */
     mayHaveBeenSent(): boolean;
-    /** Records that the attempt takes far longer than usual. */
-    recordStuck(): void;
     /** Ends the attempt, so that the server can stop its work on the request. */
     cancel(): void;
 }
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -272,7 +272,7 @@
             updatePhase();
         },
         onDetached: () => pool.removeAllHostLoads(),
-        drainReports: () => pool.drainReports(),
+        drainReports: () => pool.drainReports(clock()),
         drainLimitReports: () => limits.drainReports(link.viewAgeMs(), clock()),
     });
 
--- a/packages/gateway/src/lib/forward-attempt.ts
+++ b/packages/gateway/src/lib/forward-attempt.ts
@@ -109,7 +109,5 @@
             recordEnd(result);
             return result;
         }),
-        // The other host knows the server, and records this itself.
-        recordStuck: () => undefined,
     };
 };
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -126,11 +126,8 @@
             end(res, unavailable(attempt));
             return;
         }
-        const stuckAfterMs = options.latencies.stuckAfterMs(route, forwarded.latencyObjectiveMs);
-        const stuckTimer = setTimeout(() => attempt.recordStuck(), stuckAfterMs);
         res.on("close", () => attempt.cancel());
         const result = await attempt.result;
-        clearTimeout(stuckTimer);
         metrics.increment("cassiapick_forwarded_total", { route, outcome: result.outcome });
         deliver(res, result);
     };
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -1,5 +1,5 @@
 /** Runs one request: selects servers, sends attempts, retries where that is safe, and determines the reply to the caller. */
-import { createRequestAttempts, pickDestination, planAttempt, RequestAction } from "@cassiapick/core";
+import { createRequestAttempts, pickDestination, planAttempt, Repeatability, RequestAction } from "@cassiapick/core";
 import type { AttemptPlan, GatewayRoute, HostRetryBudget, PeerSelector, Random, RequestAttempts } from "@cassiapick/core";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
 import { startForwardAttempt } from "./forward-attempt.js";
@@ -153,13 +153,11 @@
         [RequestAction.Wait]: () => undefined,
     };
 
-    const scheduleStuckCheck = (attempt: Attempt): void => {
-        const stuckAfterMs = dependencies.latencies.stuckAfterMs(route.name, route.latencyObjectiveMs);
-        schedule(stuckAfterMs, () => {
+    const scheduleHedge = (attempt: Attempt): void => {
+        schedule(dependencies.latencies.hedgeAfterMs(route.name, route.latencyObjectiveMs), () => {
             if (!openAttempts.has(attempt)) {
                 return;
             }
-            attempt.recordStuck();
             const plan = planNextAttempt();
             if (plan.kind !== "none" && attempts.tryHedge(clock())) {
                 startAttempt(plan);
@@ -189,7 +187,9 @@
         // The starter is looked up by the kind of the plan, which the compiler can't follow.
         const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
         openAttempts.add(attempt);
-        scheduleStuckCheck(attempt);
+        if (route.repeatability === Repeatability.Repeatable) {
+            scheduleHedge(attempt);
+        }
         void attempt.result.then(result => {
             openAttempts.delete(attempt);
             if (result.server !== undefined) {
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a request at a backend server, with the evidence that it gives about the server and the path to it. */
 import { AttemptOutcome, ServerObservation } from "@cassiapick/core";
-import type { LimitAnswer, PathMonitor, RouteLatencyTracker, ServerChoice, ServerPool } from "@cassiapick/core";
+import type { LimitAnswer, PathMonitor, RouteLatencyTracker, ServerChoice, ServerPool, Survival } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { afterArrivedEvents } from "./after-arrived-events.js";
 import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
@@ -38,11 +38,12 @@
 const observationByOutcome: Record<AttemptOutcome, ServerObservation | undefined> = {
     [AttemptOutcome.Answered]: ServerObservation.Success,
     [AttemptOutcome.ServerError]: ServerObservation.Failure,
-    [AttemptOutcome.Declined]: ServerObservation.Stuck,
+    [AttemptOutcome.Declined]: ServerObservation.Declined,
     [AttemptOutcome.WrongServer]: undefined,
     [AttemptOutcome.NotSent]: undefined,
     [AttemptOutcome.Broken]: ServerObservation.Failure,
-    [AttemptOutcome.TimedOut]: ServerObservation.Failure,
+    // The wait itself was the evidence.
+    [AttemptOutcome.TimedOut]: undefined,
     [AttemptOutcome.Cancelled]: undefined,
 };
 
@@ -56,7 +57,8 @@
     const { server } = choice;
     const startedAt = clock();
     const remainingMs = remainingMsAt(req, startedAt);
-    pool.requestStarted(server.number, startedAt);
+    const survival: Survival = elapsedMs => dependencies.latencies.survival(req.routeName, req.latencyObjectiveMs, elapsedMs);
+    pool.requestStarted(server.number, startedAt, survival);
     const checkPath = (): void => path.check(server.service, startedAt);
     const slowConnectTimer = setTimeout(() => afterArrivedEvents(checkPath), slowConnectMs);
     const exchange = startExchange({
@@ -108,7 +110,7 @@
         const now = clock();
         const { outcome } = result;
         clearTimeout(slowConnectTimer);
-        pool.requestEnded(server.number, observationByOutcome[outcome], now);
+        pool.requestEnded(server.number, observationByOutcome[outcome], now, startedAt);
         if (outcome === AttemptOutcome.NotSent) {
             path.notConnected(server);
         }
@@ -148,7 +150,6 @@
             return { outcome, answer, detail, isLeaving, server: { number: server.number, serverId: server.serverId } };
         }),
         mayHaveBeenSent: exchange.mayHaveBeenSent,
-        recordStuck: () => pool.recordStuck(server.number, clock()),
         cancel: exchange.cancel,
     };
 };
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -1,6 +1,7 @@
 /** Simulates entry hosts in front of failing backend servers in fake time, using the product's own selection, retry and hedging logic. */
 import {
     AttemptOutcome,
+    concernsOtherZones,
     createHostRetryBudget,
     createRandom,
     createRequestAttempts,
@@ -9,12 +10,13 @@
     Repeatability,
     RequestAction,
     ServerObservation,
+    toReportRow,
 } from "@cassiapick/core";
 import type { FleetServer, HostRetryBudget, RouteLatencyTracker, SelectionWeights, ServerPool } from "@cassiapick/core";
 import { createTimeline } from "@cassiapick/proofs";
 import { createLimitGates, entryHostRecord } from "./gateway-limits.js";
 import { createServers, drawIntervalMs, scheduleFaultEpisodes, serveRequest } from "./gateway-servers.js";
-import type { SimulatedServer } from "./gateway-servers.js";
+import type { ServerRun, SimulatedServer } from "./gateway-servers.js";
 import type { RequestClass, SimulatedSite } from "./gateway-sites.js";
 
 /** How entry hosts select a server. */
@@ -23,6 +25,8 @@
     weights?: SelectionWeights;
     /** Whether hosts report their observations of servers to each other. */
     sharesEvidence: boolean;
+    /** Whether a request that waits is no evidence until its deadline, when it counts as a failure. */
+    ignoresWaits?: boolean;
     /** Whether servers are selected at random. */
     isRandom?: boolean;
     /** The limit that a server names, in requests a second; `undefined` for none. */
@@ -59,9 +63,18 @@
 const sameZoneDelayMs = 1;
 const otherZoneDelayMs = 3;
 const otherRegionDelayMs = 25;
-const runMs = 30_000;
+/** Requests arrive for this long; the run goes on until the last of them are answered. */
+const arrivalsMs = 30_000;
+const settlingMs = 8000;
 const lateAnswerUtility = 0.3;
 
+const observations: Partial<Record<AttemptOutcome, ServerObservation>> = {
+    [AttemptOutcome.Answered]: ServerObservation.Success,
+    [AttemptOutcome.ServerError]: ServerObservation.Failure,
+    [AttemptOutcome.Broken]: ServerObservation.Failure,
+    [AttemptOutcome.Declined]: ServerObservation.Declined,
+};
+
 /** `Retry-After` of a refusal, and the part of the remaining time up to which callers wait for it. */
 const retryAfter = { minMs: 150, jitterMs: 250, maxFractionOfRemaining: 1 / 3 } as const;
 
@@ -124,11 +137,11 @@
     };
 
     const sendReports = (host: EntryHost): void => {
-        const reports = host.pool.drainReports();
+        const reports = host.pool.drainReports(timeline.now());
         if (!strategy.sharesEvidence || reports.length === 0) {
             return;
         }
-        const failures = reports.filter(({ failures: count }) => count > 0);
+        const failures = reports.filter(report => concernsOtherZones(toReportRow(report)));
         for (const otherHost of hosts) {
             if (otherHost === host) {
                 continue;
@@ -176,12 +189,14 @@
             },
         });
         const attemptedServers = new Set<number>();
+        const openAttempts: ((outcome: AttemptOutcome) => void)[] = [];
         let isFinished = false;
         const finishRequest = (isServed: boolean): void => {
             if (isFinished) {
                 return;
             }
             isFinished = true;
+            openAttempts.forEach(end => end(AttemptOutcome.Cancelled));
             const elapsed = timeline.now() - startedAt;
             if (isServed && elapsed <= requestClass.timeoutMs) {
                 const isInObjective = elapsed <= requestClass.objectiveMs;
@@ -209,18 +224,23 @@
             result.inOtherRegion += delay === otherRegionDelayMs ? 1 : 0;
             attemptedServers.add(number);
             attempts.attemptStarted();
-            host.pool.requestStarted(number, sentAt);
+            const survival = (elapsedMs: number): number =>
+                host.latencies.survival(requestClass.name, requestClass.objectiveMs, elapsedMs);
+            host.pool.requestStarted(number, sentAt, strategy.ignoresWaits === true ? undefined : survival);
             let isOpen = true;
+            let run: ServerRun | undefined;
             const endAttempt = (outcome: AttemptOutcome): void => {
+                if (!isOpen) {
+                    return;
+                }
                 isOpen = false;
+                run?.cancel();
                 const now = timeline.now();
-                const isFailure = outcome === AttemptOutcome.Broken || outcome === AttemptOutcome.ServerError;
-                const observation = outcome === AttemptOutcome.Answered
-                    ? ServerObservation.Success
-                    : isFailure
+                const observation = outcome === AttemptOutcome.TimedOut && strategy.ignoresWaits === true
                     ? ServerObservation.Failure
-                    : ServerObservation.Stuck;
-                host.pool.requestEnded(number, observation, now);
+                    : observations[outcome];
+                const isFailure = observation === ServerObservation.Failure;
+                host.pool.requestEnded(number, observation, now, sentAt);
                 if (isFailure) {
                     sendReports(host);
                 }
@@ -238,23 +258,16 @@
                 }
                 finishRequest(outcome === AttemptOutcome.Answered);
             };
-            timeline.after(
-                delay,
-                () =>
-                    serveRequest(
-                        server,
-                        requestClass,
-                        site,
-                        timeline,
-                        random,
-                        outcome => timeline.after(delay, () => endAttempt(outcome)),
-                    ),
-            );
-            timeline.after(host.latencies.stuckAfterMs(requestClass.name, requestClass.objectiveMs), () => {
+            timeline.after(delay, () => {
+                const reply = (outcome: AttemptOutcome): void => timeline.after(delay, () => endAttempt(outcome));
+                run = serveRequest(server, requestClass, site, timeline, random, reply);
+            });
+            openAttempts.push(endAttempt);
+            timeline.after(deadlineAt - sentAt, () => endAttempt(AttemptOutcome.TimedOut));
+            timeline.after(host.latencies.hedgeAfterMs(requestClass.name, requestClass.objectiveMs), () => {
                 if (!isOpen || isFinished) {
                     return;
                 }
-                host.pool.recordStuck(number, timeline.now());
                 const hedgeServer = requestClass.repeatability === Repeatability.Repeatable ? chooseServer() : undefined;
                 if (hedgeServer !== undefined && attempts.tryHedge(timeline.now())) {
                     startAttempt(hedgeServer);
@@ -271,6 +284,9 @@
 
     for (const requestClass of site.classes) {
         const handleArrival = (): void => {
+            if (timeline.now() > arrivalsMs) {
+                return;
+            }
             tallies.get(requestClass.name)!.requestCount += 1;
             result.requestCount += 1;
             request(hosts[random.below(hosts.length)]!, requestClass, timeline.now());
@@ -285,7 +301,7 @@
         };
         timeline.after(random.below(reportIntervalMs), sendPeriodicReports);
     }
-    timeline.run(runMs);
+    timeline.run(arrivalsMs + settlingMs);
     const servedFractions = [...tallies.values()].map(({ requestCount, served }) =>
         requestCount === 0 ? 1 : served / requestCount
     );
--- a/packages/measure/src/lib/gateway-servers.ts
+++ b/packages/measure/src/lib/gateway-servers.ts
@@ -2,16 +2,20 @@
 import { AttemptOutcome, ServingState } from "@cassiapick/core";
 import type { FleetServer, Random } from "@cassiapick/core";
 import type { Timeline } from "@cassiapick/proofs";
+import { FaultKind } from "./gateway-sites.js";
 import type { RequestClass, SimulatedSite } from "./gateway-sites.js";
 
-const slotsPerServer = 3;
-const maxQueueLength = 12;
+/** Requests that a server queues, as a multiple of its slots. */
+const queuedPerSlot = 4;
+/** Time that a request takes on a slow server, as a multiple of the usual time. */
+const slowFactor = 5;
 
 /** One simulated backend server. */
 export interface SimulatedServer {
     /** The server as the fleet's directory lists it. */
     record: FleetServer;
     isFailing: boolean;
+    fault: FaultKind;
     running: number;
     queue: (() => void)[];
 }
@@ -39,7 +43,7 @@
                     service,
                     address: "",
                     availabilityZone,
-                    slots: slotsPerServer,
+                    slots: site.slotsPerServer,
                     state: ServingState.Ready,
                     bornAt: 0,
                     warmAt: 0,
@@ -47,7 +51,7 @@
                     keeper: "",
                     revision: 1,
                 };
-                servers.push({ record, isFailing: false, running: 0, queue: [] });
+                servers.push({ record, isFailing: false, fault: FaultKind.Reset, running: 0, queue: [] });
             }
         }
     }
@@ -56,17 +60,24 @@
 
 /** Switches a server between faulty and healthy at random for as long as the timeline runs. */
 export const scheduleFaultEpisodes = (server: SimulatedServer, site: SimulatedSite, timeline: Timeline, random: Random): void => {
-    const { timeFraction, meanDurationMs } = site.faultEpisodes;
+    const { timeFraction, meanDurationMs, kinds } = site.faultEpisodes;
     const healthyMeanMs = meanDurationMs * (1 - timeFraction) / timeFraction;
     const toggleFault = (): void => {
         server.isFailing = !server.isFailing;
+        server.fault = kinds[random.below(kinds.length)]!;
         timeline.after(drawIntervalMs(random, server.isFailing ? meanDurationMs : healthyMeanMs), toggleFault);
     };
     server.isFailing = random.next() >= timeFraction;
     toggleFault();
 };
 
-/** Runs one request on a server; `onOutcome` receives the outcome. */
+/** A request on a server. */
+export interface ServerRun {
+    /** Frees the request's slot; the outcome is not reported any more. */
+    cancel(): void;
+}
+
+/** Runs one request on a server; `onOutcome` receives the outcome, unless the request hangs or is cancelled. */
 export const serveRequest = (
     server: SimulatedServer,
     requestClass: RequestClass,
@@ -74,26 +85,54 @@
     timeline: Timeline,
     random: Random,
     onOutcome: (outcome: AttemptOutcome) => void,
-): void => {
-    if (server.isFailing && random.next() < site.faultEpisodes.failureRate) {
-        onOutcome(AttemptOutcome.Broken);
-        return;
+): ServerRun => {
+    const isFaulty = server.isFailing && random.next() < site.faultEpisodes.failureRate;
+    const fault = isFaulty ? server.fault : undefined;
+    let isEnded = false;
+    let isRunning = false;
+    const end = (outcome?: AttemptOutcome): void => {
+        if (isEnded) {
+            return;
+        }
+        isEnded = true;
+        if (isRunning) {
+            server.running -= 1;
+            server.queue.shift()?.();
+        }
+        if (outcome !== undefined) {
+            onOutcome(outcome);
+        }
+    };
+    const run: ServerRun = { cancel: () => end() };
+    if (fault === FaultKind.Reset) {
+        end(AttemptOutcome.Broken);
+        return run;
     }
     const runRequest = (): void => {
-        server.running += 1;
-        timeline.after(drawServiceTimeMs(random, requestClass.meanServiceMs, requestClass.serviceTimeVariation), () => {
-            server.running -= 1;
+        if (isEnded) {
             server.queue.shift()?.();
-            onOutcome(random.next() < site.healthyErrorRate ? AttemptOutcome.ServerError : AttemptOutcome.Answered);
-        });
+            return;
+        }
+        isRunning = true;
+        server.running += 1;
+        if (fault === FaultKind.Hang) {
+            return;
+        }
+        const usualMs = drawServiceTimeMs(random, requestClass.meanServiceMs, requestClass.serviceTimeVariation);
+        const isError = fault === FaultKind.Error || random.next() < site.healthyErrorRate;
+        timeline.after(
+            fault === FaultKind.Slow ? slowFactor * usualMs : usualMs,
+            () => end(isError ? AttemptOutcome.ServerError : AttemptOutcome.Answered),
+        );
     };
-    if (server.running < slotsPerServer) {
+    if (server.running < site.slotsPerServer) {
         runRequest();
     }
-    else if (server.queue.length < maxQueueLength) {
+    else if (server.queue.length < queuedPerSlot * site.slotsPerServer) {
         server.queue.push(runRequest);
     }
     else {
-        onOutcome(AttemptOutcome.Declined);
+        end(AttemptOutcome.Declined);
     }
+    return run;
 };
--- a/packages/measure/src/lib/gateway-sites.ts
+++ b/packages/measure/src/lib/gateway-sites.ts
@@ -16,6 +16,18 @@
     maxServers: number;
 }
 
+/** How a request fails on a server in a fault episode. */
+export enum FaultKind {
+    /** The connection is reset at once. */
+    Reset = "reset",
+    /** No answer ever comes. */
+    Hang = "hang",
+    /** An answer with a server error comes after the usual time. */
+    Error = "error",
+    /** The answer comes, but takes several times as long. */
+    Slow = "slow",
+}
+
 /** One simulated site. */
 export interface SimulatedSite {
     /** Region of each availability zone. */
@@ -23,8 +35,12 @@
     entryHostsPerZone: number;
     serversPerZone: Record<string, number>;
     classes: RequestClass[];
-    /** Fraction of time in which a server is faulty, mean duration of such an episode, and fraction of requests that fail in it. */
-    faultEpisodes: { timeFraction: number; meanDurationMs: number; failureRate: number; };
+    slotsPerServer: number;
+    /**
+     * Fraction of time in which a server is faulty, mean duration of such an episode, fraction of requests that fail in it, and how;
+     * of several ways, each episode has one.
+     */
+    faultEpisodes: { timeFraction: number; meanDurationMs: number; failureRate: number; kinds: readonly FaultKind[]; };
     /** Error rate of a healthy server. */
     healthyErrorRate: number;
     retryReserve: number;
@@ -81,6 +97,65 @@
     },
 ];
 
+const buylist = (scale: number): RequestClass[] => [
+    {
+        name: "price-lookup",
+        service: "offers",
+        repeatability: Repeatable,
+        requestsPerSecond: 32.1 * scale,
+        meanServiceMs: 600,
+        serviceTimeVariation: 0.3,
+        objectiveMs: 2500,
+        timeoutMs: 5000,
+        maxServers: 2,
+    },
+    {
+        name: "credit-hold",
+        service: "credit",
+        repeatability: AtMostOnce,
+        requestsPerSecond: 60.1 * scale,
+        meanServiceMs: 460,
+        serviceTimeVariation: 0.3,
+        objectiveMs: 2500,
+        timeoutMs: 6000,
+        maxServers: 2,
+    },
+    {
+        name: "cash-payout",
+        service: "payouts",
+        repeatability: AtMostOnce,
+        requestsPerSecond: 20 * scale,
+        meanServiceMs: 320,
+        serviceTimeVariation: 0.8,
+        objectiveMs: 1500,
+        timeoutMs: 4000,
+        maxServers: 2,
+    },
+    {
+        name: "tradein-log",
+        service: "trades",
+        repeatability: AtMostOnce,
+        requestsPerSecond: 9.08 * scale,
+        meanServiceMs: 370,
+        serviceTimeVariation: 0.5,
+        objectiveMs: 1500,
+        timeoutMs: 4000,
+        maxServers: 2,
+    },
+];
+
+/** The buylist site, whose servers fail in the given ways. */
+const buylistWith = (...kinds: FaultKind[]): SimulatedSite => ({
+    regions: ticketingRegions,
+    entryHostsPerZone: 7,
+    serversPerZone: { offers: 2, credit: 2, payouts: 2, trades: 2 },
+    classes: buylist(1),
+    slotsPerServer: 6,
+    faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.75, kinds },
+    healthyErrorRate: 0.012,
+    retryReserve: 60,
+});
+
 /** Simulated sites by name. */
 export const simulatedSites: Readonly<Record<string, SimulatedSite>> = {
     ticketing: {
@@ -88,7 +163,8 @@
         entryHostsPerZone: 6,
         serversPerZone: { viewer: 2, refunds: 2, bookings: 2, programmes: 2 },
         classes: ticketing(1),
-        faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.85 },
+        slotsPerServer: 3,
+        faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.85, kinds: [FaultKind.Reset] },
         healthyErrorRate: 0.012,
         retryReserve: 58,
     },
@@ -97,8 +173,24 @@
         entryHostsPerZone: 18,
         serversPerZone: { viewer: 10, refunds: 17, bookings: 4, programmes: 11 },
         classes: ticketing(8.8),
-        faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.85 },
+        slotsPerServer: 3,
+        faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.85, kinds: [FaultKind.Reset] },
         healthyErrorRate: 0.012,
         retryReserve: 188,
     },
+    buylist: buylistWith(FaultKind.Hang),
+    "buylist-reset": buylistWith(FaultKind.Reset),
+    "buylist-error": buylistWith(FaultKind.Error),
+    "buylist-slow": buylistWith(FaultKind.Slow),
+    "buylist-mixed": buylistWith(FaultKind.Hang, FaultKind.Reset, FaultKind.Error, FaultKind.Slow),
+    "buylist-grown": {
+        regions: ticketingRegions,
+        entryHostsPerZone: 15,
+        serversPerZone: { offers: 11, credit: 16, payouts: 4, trades: 2 },
+        classes: buylist(6.5),
+        slotsPerServer: 6,
+        faultEpisodes: { timeFraction: 0.15, meanDurationMs: 4500, failureRate: 0.75, kinds: [FaultKind.Hang] },
+        healthyErrorRate: 0.012,
+        retryReserve: 156,
+    },
 };
--- a/packages/measure/src/lib/gateway.ts
+++ b/packages/measure/src/lib/gateway.ts
@@ -8,6 +8,7 @@
 const strategies: SelectionStrategy[] = [
     { name: "random", sharesEvidence: false, isRandom: true },
     { name: "own evidence only", sharesEvidence: false },
+    { name: "shared, no waits", sharesEvidence: true, ignoresWaits: true },
     { name: "shared evidence", sharesEvidence: true },
     { name: "shared, least loaded", sharesEvidence: true, weights: { ...defaultSelectionWeights, utilization: 0.3, jitter: 0 } },
 ];
