--- a/packages/core/src/lib/gateway/attempt-planner.ts
+++ b/packages/core/src/lib/gateway/attempt-planner.ts
@@ -1,5 +1,5 @@
 /** Decides for each attempt of a request whether it goes to a backend server directly or through another entry host. */
-import type { Repeatability } from "./gateway-config.js";
+import { Repeatability } from "./gateway-config.js";
 import type { PathMonitor } from "./path-monitor.js";
 import type { EntryPeer, PeerSelector } from "./peer-selector.js";
 import type { ServerChoice, ServerPool } from "./server-pool-types.js";
@@ -45,7 +45,13 @@
     { pool, path, peers }: AttemptPlanDependencies,
     now: number,
 ): AttemptPlan => {
-    const choice = pool.choose(service, repeatability, history.servers, now);
+    // A further attempt is mostly the last one, so its server has to be as sure as that of a request that is sent only once.
+    const choice = pool.choose(
+        service,
+        history.attemptCount === 0 ? repeatability : Repeatability.AtMostOnce,
+        history.servers,
+        now,
+    );
     const isLost = path.isServiceLost(service);
     if (choice !== undefined && (!isLost || (history.attemptCount === 0 && isWorthAttempt(choice)))) {
         return { kind: "direct", choice };
--- a/packages/core/src/test/attempt-planner_test.ts
+++ b/packages/core/src/test/attempt-planner_test.ts
@@ -56,4 +56,31 @@
             expect(plan.kind).to.equal(kind);
         });
     }
+
+    const attempts = [
+        { attemptCount: 0, expected: Repeatability.Repeatable },
+        { attemptCount: 1, expected: Repeatability.AtMostOnce },
+    ];
+    for (const { attemptCount, expected } of attempts) {
+        it(`chooses a server for a repeatable request after ${attemptCount} attempts as for one that is ${expected}`, () => {
+            const chosenAs: Repeatability[] = [];
+            planAttempt(
+                "quotes",
+                Repeatability.Repeatable,
+                { servers: new Set(), peers: new Set(), attemptCount },
+                {
+                    pool: {
+                        choose: (_service, repeatability) => {
+                            chosenAs.push(repeatability);
+                            return idleServer;
+                        },
+                    },
+                    path: { isServiceLost: () => false },
+                    peers: { choose: () => undefined },
+                },
+                0,
+            );
+            expect(chosenAs).to.deep.equal([expected]);
+        });
+    }
 });
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -40,8 +40,8 @@
     setLimits(limits: CallerLimits): void;
     /** From now on, answers carry `Connection: close`. */
     startDraining(): void;
-    /** Accepts no further connections. */
-    stopListening(): void;
+    /** Accepts no further connections, and refuses requests that arrive on open ones. */
+    stopAccepting(): void;
     /** Number of requests in flight. */
     openRequestCount(): number;
     close(): void;
@@ -63,6 +63,9 @@
 /** Most served requests that are logged per second; the others are only counted. */
 const maxServedLogsPerSecond = 20;
 
+/** `Retry-After` of a stopping host, in milliseconds: other hosts take the request at once. */
+const stoppingRetryAfterMs = 20;
+
 const statusByReplyKind: Record<Exclude<ReplyKind, ReplyKind.Answer | ReplyKind.CallerDisconnected>, number> = {
     [ReplyKind.Refused]: 503,
     [ReplyKind.Failed]: 502,
@@ -76,6 +79,7 @@
     let limits = defaultLimits;
     let openRequestCount = 0;
     let isDraining = false;
+    let isRefusing = false;
     let logSecond = 0;
     let logsInSecond = 0;
 
@@ -195,6 +199,12 @@
             return;
         }
         const requestId = headerValue(req.rawHeaders, headerNames.requestId);
+        if (isRefusing) {
+            log.log("requestRefused", { requestId, reason: "the host is stopping", hostHeader, target });
+            metrics.increment("cassiapick_requests_total", { route: "", outcome: "stopping" });
+            respond(req, res, 503, "This host is stopping. Send the request to another host.", stoppingRetryAfterMs);
+            return;
+        }
         if (routing.kind === "unrouted") {
             log.log("requestUnrouted", { requestId, hostHeader, target, configNumber: routing.configNumber });
             metrics.increment("cassiapick_requests_total", { route: "", outcome: "unrouted" });
@@ -265,7 +275,8 @@
         startDraining: () => {
             isDraining = true;
         },
-        stopListening: () => {
+        stopAccepting: () => {
+            isRefusing = true;
             server.close();
             server.closeIdleConnections();
         },
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -27,6 +27,7 @@
 import { runRequest } from "./request-runner.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 import { createStateLink } from "./state-link.js";
+import { stopSchedule } from "./stop-schedule.js";
 import { tryConnect } from "./try-connect.js";
 
 /** Options of {@link startEntryGateway}. */
@@ -68,10 +69,6 @@
 
 /** Without a majority of the state hosts, a starting host serves an unconfirmed configuration after this time. */
 const unconfirmedConfigFallbackMs = 3000;
-/** Callers cache addresses, so a stopping host accepts new connections for this fraction of the stop's time limit. */
-const listenFraction = 0.6;
-/** The end of the stop's time limit that is reserved for sending the last answers, in milliseconds. */
-const answerFlushMs = 500;
 const stopPollMs = 50;
 /** `Retry-After` while the newest configuration is unknown, and the interval between updates of the phase, in milliseconds. */
 const unknownConfigRetryMs = 400;
@@ -307,11 +304,12 @@
         forwardServer.startDraining();
         const elapsed = (): number => clock() - stopStartedAt;
         const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, stopPollMs));
-        while (elapsed() < options.stopWithinMs * listenFraction) {
+        const { acceptUntilMs, finishUntilMs } = stopSchedule(options.stopWithinMs);
+        while (elapsed() < acceptUntilMs) {
             await waitForNextPoll();
         }
-        callerServer.stopListening();
-        while (openRequestCount() > 0 && elapsed() < options.stopWithinMs - answerFlushMs) {
+        callerServer.stopAccepting();
+        while (openRequestCount() > 0 && elapsed() < finishUntilMs) {
             await waitForNextPoll();
         }
         timers.forEach(timer => clearInterval(timer));
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -213,7 +213,8 @@
                 );
                 return candidates[random.below(candidates.length)];
             }
-            const choice = host.pool.choose(requestClass.service, requestClass.repeatability, attemptedServers, timeline.now());
+            const repeatability = attemptedServers.size === 0 ? requestClass.repeatability : Repeatability.AtMostOnce;
+            const choice = host.pool.choose(requestClass.service, repeatability, attemptedServers, timeline.now());
             return choice === undefined ? undefined : servers[choice.server.number - 1];
         };
         const startAttempt = (server: SimulatedServer): void => {
