Count the path to all servers as lost only while there are servers

Cause: found while reading the change. The failure of the last server of a pool, which had left meanwhile, met both conditions for the loss of all paths with counts of 0, and new servers were out of reach until a trial. Test: server-reach_test, one case, failed before. The times of trials are forgotten when no path is lost, so that they don't grow with the servers that come and go.

--- a/packages/core/src/lib/gateway/path-monitor.ts
+++ b/packages/core/src/lib/gateway/path-monitor.ts
@@ -85,6 +85,7 @@
     /** When the trials of the current loss began, or a server was reached last that had not been reached before. */
     let pacedFrom = 0;
     let lastTrialAt = -Infinity;
+    /** When servers were tried during the current losses. */
     const triedAt = new Map<number, number>();
 
     const announceChanges = (): void => {
@@ -189,6 +190,7 @@
     const tick = (): void => {
         checkFailedServices();
         if (lostServices.size === 0) {
+            triedAt.clear();
             return;
         }
         const now = clock();
--- a/packages/core/src/lib/gateway/server-reach.ts
+++ b/packages/core/src/lib/gateway/server-reach.ts
@@ -84,7 +84,8 @@
 
     /** Whether servers of several services accept no connection, and no other server does. */
     const areServicesUnreached = (now: number): boolean => {
-        if (countRecent(hostFailures, now) < requiredServers(cfg.serverCount())) {
+        const serverCount = cfg.serverCount();
+        if (serverCount === 0 || countRecent(hostFailures, now) < requiredServers(serverCount)) {
             return false;
         }
         const services = new Set([...hostFailures.keys()].map(number => serviceByFailure.get(number)));
@@ -94,7 +95,8 @@
     /** Whether no server of any service accepts connections. */
     const areAllPathsClosed = (): boolean => {
         const closed = [...servicePaths].filter(([, path]) => path.state() === PathState.Lost && path.reachedCount() === 0);
-        return closed.reduce((sum, [service]) => sum + cfg.serverCount(service), 0) >= cfg.serverCount();
+        const closedServers = closed.reduce((sum, [service]) => sum + cfg.serverCount(service), 0);
+        return closedServers > 0 && closedServers >= cfg.serverCount();
     };
 
     /** Makes the paths half-open that were lost together with `path`, as they have probably returned together. */
--- a/packages/core/src/test/server-reach_test.ts
+++ b/packages/core/src/test/server-reach_test.ts
@@ -125,4 +125,10 @@
             }
         });
     }
+
+    it("is not lost after the failure of the last server, which has left meanwhile", () => {
+        const reach = createServerReach({ serverCount: () => 0, serviceCount: () => 0 });
+        reach.notConnected(target(9), 0);
+        expect(reach.isHostLost()).to.equal(false);
+    });
 });
