--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -76,6 +76,7 @@
     });
     afterEach(() => {
         agent.destroy();
+        server.stopAccepting();
         server.close();
     });
 
