--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -166,6 +166,7 @@
         degradation.recordHangs(member.record.service, hangs, now);
     };
 
+    /** Adds the evidence of hangs in any zone, or takes it back. */
     const addHangEvidence = (member: PoolMember, hangs: number, now: number): void => {
         if (hangs === 0) {
             return;
@@ -178,7 +179,8 @@
         }
     };
 
-    const change = (number: number, apply: (member: PoolMember) => void): void => {
+    /** Calls `apply` with the server of the number, unless it has left. */
+    const withMember = (number: number, apply: (member: PoolMember) => void): void => {
         const member = members.get(number);
         if (member !== undefined) {
             apply(member);
@@ -242,16 +244,16 @@
             }
         },
         recordRest: (number, until) =>
-            change(number, member => {
+            withMember(number, member => {
                 member.restsUntil = Math.max(member.restsUntil, until);
             }),
         recordLeaving: number =>
-            change(number, member => {
+            withMember(number, member => {
                 member.isLeaving = true;
             }),
         leavingServers: service => [...membersByService.get(service) ?? []].filter(isLeaving).map(({ record }) => record.number),
         markReplaced: number =>
-            change(number, member => {
+            withMember(number, member => {
                 member.isReplaced = true;
             }),
         applyReport: (hostKey, report, now) => {
