Agree on the interfaces for workspaces, quotas and large answers

Configurations, requests and replies get the fields that the parts built next to each other share: workspaces with digests of their keys, priorities and quotas; public routes; routes with large answers; the reply to a request beyond the quota of its workspace.

--- a/packages/core/src/lib/gateway/gateway-config.ts
+++ b/packages/core/src/lib/gateway/gateway-config.ts
@@ -27,6 +27,10 @@
     latencyObjectiveMs: number;
     /** Priority of the route; 0 is the most urgent. */
     priority: number;
+    /** Whether callers need no key. */
+    isPublic?: boolean;
+    /** Whether answers are large, so that they are scheduled by their bytes. */
+    hasLargeAnswers?: boolean;
     /** Most backend servers that one request may run on. */
     maxServers: number;
     destinations: Destination[];
@@ -39,6 +43,19 @@
     maxConnections: number;
 }
 
+/** A customer of the operator, whose callers present one of its keys. */
+export interface Workspace {
+    name: string;
+    /** Digests of the keys; a key itself is not kept. */
+    keyDigests: string[];
+    /** Priority of the workspace's requests, which goes before that of their routes; 0 is the most urgent. */
+    priority?: number;
+    /** Requests a second that all hosts together take from the workspace; `undefined` without a quota. */
+    ratePerS?: number;
+    /** Requests beyond the rate that the workspace may send at once. */
+    burst: number;
+}
+
 /** Limits on requests and connections of callers. */
 export interface CallerLimits {
     maxHeaderBytes: number;
@@ -56,6 +73,8 @@
     routes: GatewayRoute[];
     services: GatewayService[];
     limits: CallerLimits;
+    /** Absent if callers need no keys. */
+    workspaces?: Workspace[];
 }
 
 /** The changes that turn a configuration into a newer one. */
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -69,6 +69,7 @@
 
 const statusByReplyKind: Record<Exclude<ReplyKind, ReplyKind.Answer | ReplyKind.CallerDisconnected>, number> = {
     [ReplyKind.Refused]: 503,
+    [ReplyKind.OverQuota]: 429,
     [ReplyKind.Failed]: 502,
     [ReplyKind.TimedOut]: 504,
 };
@@ -138,7 +139,7 @@
         else if (reply.kind === ReplyKind.CallerDisconnected) {
             log.log("callerLeft", commonFields);
         }
-        else if (reply.kind === ReplyKind.Refused) {
+        else if (reply.kind === ReplyKind.Refused || reply.kind === ReplyKind.OverQuota) {
             log.log("requestRefused", {
                 ...commonFields,
                 requestKey,
@@ -179,7 +180,7 @@
             res,
             statusByReplyKind[reply.kind],
             reply.reason,
-            reply.kind === ReplyKind.Refused ? reply.retryAfterMs : undefined,
+            "retryAfterMs" in reply ? reply.retryAfterMs : undefined,
         );
     };
 
@@ -252,6 +253,7 @@
             callerAddress,
             route,
             configNumber,
+            priority: route.priority,
             method,
             target,
             headers: hasContentLength ? [...forwardedHeaders, "Content-Length", String(body.length)] : forwardedHeaders,
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -27,6 +27,10 @@
     route: GatewayRoute;
     /** Number of the configuration that the route is from. */
     configNumber: number;
+    /** Name of the workspace that the request counts for; `undefined` if callers need no keys. */
+    workspace?: string;
+    /** Priority of the request, from its workspace or its route; 0 is the most urgent. */
+    priority: number;
     method: string;
     target: string;
     /** End-to-end headers, without those that the gateway sets. */
@@ -45,6 +49,8 @@
     Refused = "refused",
     /** The request may have run. */
     Failed = "failed",
+    /** The request's workspace has used up its quota; the request has not run. */
+    OverQuota = "over-quota",
     TimedOut = "timed-out",
     /** The caller has closed its connection. */
     CallerDisconnected = "abandoned",
@@ -54,6 +60,7 @@
 export type Reply =
     | { kind: ReplyKind.Answer; answer: ServerAnswer; serverId?: string; attemptCount: number; detail: string; }
     | { kind: ReplyKind.Refused; retryAfterMs: number; reason: string; }
+    | { kind: ReplyKind.OverQuota; retryAfterMs: number; reason: string; }
     | { kind: ReplyKind.Failed; reason: string; }
     | { kind: ReplyKind.TimedOut; reason: string; }
     | { kind: ReplyKind.CallerDisconnected; };
--- a/packages/gateway/src/test/request-runner_test.ts
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -63,6 +63,7 @@
                     destinations: [{ service: testServer.service, weight: 1 }],
                 },
                 configNumber: 1,
+                priority: 0,
                 method: "GET",
                 target: "/",
                 headers: [],
