Add a check of a configuration before it is sent

Cause: the users' operators learn only from the answer to a publication that a document is refused, and never that a route can't match, that limits contradict each other, or what a new version changes. Change: cassiapick-check reads a document with the decoder of the state hosts and reports errors, entries that never match, contradictions, and the differences from the document in force, as text or JSON, with an exit code. The checks are pure functions of the decoded configuration (core/lib/config-check), so they hold for any source of documents.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** The decision logic of cassiapick as pure state machines, without sockets, clocks or random sources of their own. */
 export * from "./lib/backend-server.js";
 export * from "./lib/claims/index.js";
+export * from "./lib/config-check/index.js";
 export * from "./lib/consensus/bootstrap.js";
 export * from "./lib/consensus/configuration-machine.js";
 export * from "./lib/consensus/log-entry.js";
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,4 +1,5 @@
 /** Serves callers over HTTP: reads and routes requests, runs them, and forwards the answers. */
+import { maxParsedHeadBytes } from "@cassiapick/core";
 import type { CallerLimits, GatewayRoute } from "@cassiapick/core";
 import { requestKeyOf } from "@cassiapick/operations";
 import type { EventLog } from "@cassiapick/operations";
@@ -48,8 +49,6 @@
     close(): void;
 }
 
-/** The parser rejects larger request heads, whatever the configuration allows. */
-const maxParsedHeadBytes = 64 * 1024;
 const defaultLimits: CallerLimits = {
     maxHeaderBytes: 16_384,
     maxBodyBytes: 64 * 1024 * 1024,
