Bound the memory for answers, and let large ones take turns on the link

Cause: a body that broke off after 256 KB was lost, as its first bytes had gone out; callers that read slowly or not at all could make a host hold any number of bytes; and small urgent answers waited behind the bytes of large ones on a link of 2 to 6 Mbit/s. Change: routes with large answers are read whole up to 1 MB and so can be repeated until the first byte goes out; a quarter of the process's memory bounds what is held, beyond it answers are streamed with backpressure and requests for large answers are refused before they are sent; large answers are written in parts by priority and shortest remainder. Test in fake time (link-schedule_test): small answers wait at most 160 ms behind five answers of 540 KB at 2 Mbit/s (without turns, as long as the link takes for all of them), 0.95 of the link used, also with 20 callers that read nothing. answer-writer_test and large-answer_test on sockets.

--- a/packages/gateway/src/lib/attempt.ts
+++ b/packages/gateway/src/lib/attempt.ts
@@ -13,6 +13,8 @@
     latencyObjectiveMs: number;
     service: string;
     repeatability: Repeatability;
+    /** Whether the answer may be large; it is read whole before a byte is passed on, so that the request can be repeated until then. */
+    hasLargeAnswer?: boolean;
     method: string;
     target: string;
     /** End-to-end headers, without those that the gateway sets. */
@@ -44,6 +46,16 @@
     cancel(): void;
 }
 
+/**
+ * Longest answer of a request with {@link AttemptRequest.hasLargeAnswer} that is read whole, in bytes. A longer one is streamed, so
+ * that an answer which breaks off is lost.
+ */
+const maxLargeAnswerBytes = 1024 * 1024;
+
+/** How many bytes of the answer are read before it is passed on; `undefined` for the usual number. */
+export const maxBufferedBytesOf = (req: AttemptRequest): number | undefined =>
+    req.hasLargeAnswer === true ? maxLargeAnswerBytes : undefined;
+
 /** The request's deadline ends its attempts; an attempt's own timeout, this much later, is only a safeguard, in milliseconds. */
 export const attemptTimeoutMarginMs = 100;
 
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -5,7 +5,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { forwardBody } from "./answer-body.js";
+import type { AnswerWriter } from "./answer-writer.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { endToEndHeaders, headerValue } from "./headers.js";
 import type { HeaderNames } from "./headers.js";
@@ -29,6 +29,7 @@
     /** Resolves when a newer configuration is in force, or after `waitMs`. */
     waitForNextConfig: (waitMs: number) => Promise<void>;
     run: (req: CallerRequest) => RequestRun;
+    answerWriter: AnswerWriter;
     clock: () => number;
     log: EventLog;
     metrics: GatewayMetrics;
@@ -111,7 +112,11 @@
         res.end(body);
     };
 
-    const forwardAnswer = (res: ServerResponse, answer: Extract<Reply, { kind: ReplyKind.Answer; }>["answer"]): void => {
+    const forwardAnswer = (
+        res: ServerResponse,
+        answer: Extract<Reply, { kind: ReplyKind.Answer; }>["answer"],
+        { route, priority }: CallerRequest,
+    ): void => {
         if (res.destroyed) {
             answer.stream?.destroy();
             return;
@@ -120,7 +125,7 @@
         const headers = endToEndHeaders(answer.headers, stream === undefined ? ["content-length"] : []);
         const length = stream === undefined ? ["Content-Length", String(answer.body.length)] : [];
         res.writeHead(answer.status, [...headers, ...length, ...(isDraining ? ["Connection", "close"] : [])]);
-        forwardBody(res, answer);
+        options.answerWriter.write(res, answer, route.hasLargeAnswers === true ? priority : undefined);
     };
 
     const logOutcome = (caller: CallerRequest, reply: Reply): void => {
@@ -172,7 +177,7 @@
             return;
         }
         if (reply.kind === ReplyKind.Answer) {
-            forwardAnswer(res, reply.answer);
+            forwardAnswer(res, reply.answer, caller);
             return;
         }
         respond(
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -14,64 +14,26 @@
     HostPhase,
     LinkMessageKind,
 } from "@cassiapick/core";
-import type { GatewayConfig, LinkMessage, PoolLocality, Random, RetryBound, RouteIndex, ServerRow } from "@cassiapick/core";
-import type { EventLog } from "@cassiapick/operations";
+import type { GatewayConfig, LinkMessage, RouteIndex, ServerRow } from "@cassiapick/core";
+import { createAnswerMemory } from "./answer-memory.js";
+import { createAnswerWriter } from "./answer-writer.js";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
+import type { EntryGateway, EntryGatewayOptions } from "./entry-gateway-contract.js";
 import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
-import type { HeaderNames } from "./headers.js";
 import { connectTcp } from "./http-call.js";
-import type { Connect } from "./http-call.js";
 import { applyRemoteReports, applyZoneReports } from "./received-reports.js";
 import { runRequest } from "./request-runner.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 import type { ServerEndCheckOptions } from "./server-end-check.js";
 import { createStateLink } from "./state-link.js";
-import { stopSchedule } from "./stop-schedule.js";
+import { stopGracefully } from "./stop-gracefully.js";
 import { ConnectResult, tryConnect } from "./try-connect.js";
 
-/** Options of {@link startEntryGateway}. */
-export interface EntryGatewayOptions {
-    hostId: string;
-    /** Address that callers connect to. */
-    listenHost: string;
-    /** 0 lets the operating system choose. */
-    listenPort: number;
-    /** Port on which other entry hosts may ask this one to send requests to servers; 0 lets the operating system choose. */
-    forwardPort: number;
-    locality: PoolLocality;
-    /** State hosts to connect to first, as "host:port". */
-    seeds: readonly string[];
-    headerNames: HeaderNames;
-    retryBound: RetryBound;
-    /** Time within which a published change is in force, in milliseconds; an older view can't prove that a route is missing. */
-    applyWithinMs: number;
-    /** Time limit of a graceful stop, in milliseconds. */
-    stopWithinMs: number;
-    /** Opens connections to backend servers; by default, over TCP. */
-    connectServer?: Connect;
-    random: Random;
-    clock: () => number;
-    wallClock: () => number;
-    log: EventLog;
-}
-
-/** A running entry host. */
-export interface EntryGateway {
-    port: number;
-    /** Whether callers should connect to this host. */
-    isReady(): boolean;
-    setSeeds(seeds: readonly string[]): void;
-    renderMetrics(): string;
-    /** Finishes the requests that were read; resolves when the process may end. */
-    stop(): Promise<void>;
-}
-
 /** Without a majority of the state hosts, a starting host serves an unconfirmed configuration after this time. */
 const unconfirmedConfigFallbackMs = 3000;
-const stopPollMs = 50;
 /** `Retry-After` while the newest configuration is unknown, and the interval between updates of the phase, in milliseconds. */
 const unknownConfigRetryMs = 400;
 /** Requests wait for the first configuration until this long after the start, in milliseconds. */
@@ -160,6 +122,9 @@
         metrics,
     });
 
+    const answerMemory = createAnswerMemory(options.memoryBytes, options.linkBytesPerMs);
+    const answerWriter = createAnswerWriter({ budget: answerMemory.budget, linkBytesPerMs: options.linkBytesPerMs, clock });
+
     const attemptDependencies: ServerAttemptDependencies = {
         ...requestQuarantine,
         pool,
@@ -173,11 +138,13 @@
         onServerFailed: () => link.sendReportsNow(),
         onLimitAnswer: answer => limits.recordAnswer(answer, clock()),
         viewAgeMs: () => link.viewAgeMs(),
+        answerBudget: answerMemory.budget,
     };
 
     const forwardServer = createForwardServer({
         ...attemptDependencies,
         metrics,
+        answerWriter,
         maxBodyBytes: () => config?.limits.maxBodyBytes ?? 0,
     });
 
@@ -185,7 +152,9 @@
         headerNames: options.headerNames,
         route,
         waitForNextConfig,
-        run: req => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+        run: req =>
+            answerMemory.refusal(req) ?? runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+        answerWriter,
         clock,
         log,
         metrics,
@@ -300,27 +269,25 @@
 
     const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
 
-    const stop = async (): Promise<void> => {
-        const stopStartedAt = clock();
-        isStopping = true;
-        updatePhase();
-        callerServer.startDraining();
-        forwardServer.startDraining();
-        const elapsed = (): number => clock() - stopStartedAt;
-        const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, stopPollMs));
-        const { acceptUntilMs, finishUntilMs } = stopSchedule(options.stopWithinMs);
-        while (elapsed() < acceptUntilMs) {
-            await waitForNextPoll();
-        }
-        callerServer.stopAccepting();
-        while (openRequestCount() > 0 && elapsed() < finishUntilMs) {
-            await waitForNextPoll();
-        }
-        timers.forEach(timer => clearInterval(timer));
-        link.close();
-        callerServer.close();
-        forwardServer.close();
-    };
+    const stop = (): Promise<void> =>
+        stopGracefully({
+            stopWithinMs: options.stopWithinMs,
+            clock,
+            openRequestCount,
+            startDraining: () => {
+                isStopping = true;
+                updatePhase();
+                callerServer.startDraining();
+                forwardServer.startDraining();
+            },
+            stopAccepting: () => callerServer.stopAccepting(),
+            close: () => {
+                timers.forEach(timer => clearInterval(timer));
+                link.close();
+                callerServer.close();
+                forwardServer.close();
+            },
+        });
 
     return {
         port,
@@ -334,6 +301,8 @@
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
                 ...requestQuarantine.gauges(),
+                cassiapick_answer_bytes_held: answerMemory.budget.held(),
+                cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -3,6 +3,7 @@
  * platform; the program `cassiapick-entry` has its own exchange in `@cassiapick/entry`.
  */
 import { AttemptOutcome } from "@cassiapick/core";
+import type { ByteBudget } from "@cassiapick/core";
 import type { IncomingMessage } from "node:http";
 import { headerValue } from "./headers.js";
 import type { HeaderNames, RawHeaders } from "./headers.js";
@@ -45,6 +46,10 @@
     connectTimeoutMs: number;
     /** Timeout for the whole attempt, in milliseconds. */
     timeoutMs: number;
+    /** Longer bodies are streamed to the caller, in bytes. */
+    maxBufferedBytes?: number;
+    /** The bytes of answers that the host may hold. */
+    budget?: ByteBudget;
     onConnected?: () => void;
 }
 
@@ -127,6 +132,8 @@
         connect: options.connect,
         connectTimeoutMs: options.connectTimeoutMs,
         timeoutMs: options.timeoutMs,
+        maxBufferedBytes: options.maxBufferedBytes,
+        budget: options.budget,
         onConnected: options.onConnected,
         readHead,
     });
--- a/packages/gateway/src/lib/forward-attempt.ts
+++ b/packages/gateway/src/lib/forward-attempt.ts
@@ -1,9 +1,9 @@
 /** One attempt of a request through another entry host, which sends it to a backend server. */
 import { AttemptOutcome } from "@cassiapick/core";
-import type { EntryPeer, PeerSelector, ServerPool } from "@cassiapick/core";
+import type { ByteBudget, EntryPeer, PeerSelector, ServerPool } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import type { IncomingMessage } from "node:http";
-import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
+import { attemptTimeoutMarginMs, maxBufferedBytesOf, remainingMsAt } from "./attempt.js";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
 import {
     decodeForwardResult,
@@ -24,6 +24,8 @@
     localAddress?: string;
     clock: () => number;
     log: EventLog;
+    /** The bytes of answers that this host may hold. */
+    answerBudget?: ByteBudget;
 }
 
 /** Timeout for the connection and the peer's confirmation, in milliseconds: two round trips between regions, and a lost packet. */
@@ -64,6 +66,7 @@
                 latencyObjectiveMs: req.latencyObjectiveMs,
                 service: req.service,
                 repeatability: req.repeatability,
+                hasLargeAnswer: req.hasLargeAnswer,
                 remainingMs: remainingMsAt(req, clock()),
                 // The other host may not have learned yet that a server is leaving.
                 excluded: [...excluded, ...pool.leavingServers(req.service)],
@@ -76,6 +79,8 @@
         localAddress: dependencies.localAddress,
         connectTimeoutMs: Math.min(confirmationTimeoutMs, remainingMs),
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
+        maxBufferedBytes: maxBufferedBytesOf(req),
+        budget: dependencies.answerBudget,
         awaitsConfirmation: true,
         maxHeadBytes: maxForwardHeadBytes,
         readHead,
--- a/packages/gateway/src/lib/forward-protocol.ts
+++ b/packages/gateway/src/lib/forward-protocol.ts
@@ -18,6 +18,8 @@
     latencyObjectiveMs: number;
     service: string;
     repeatability: Repeatability;
+    /** Whether the answer may be large; earlier versions don't say. */
+    hasLargeAnswer?: boolean;
     /** Time until the caller must have a response, in milliseconds. */
     remainingMs: number;
     /** Numbers of the servers that must not get the request. */
@@ -66,6 +68,7 @@
         && typeof req.routeName === "string" && typeof req.service === "string"
         && typeof req.latencyObjectiveMs === "number" && typeof req.remainingMs === "number"
         && Object.values(Repeatability).includes(req.repeatability!)
+        && (req.hasLargeAnswer === undefined || typeof req.hasLargeAnswer === "boolean")
         && Array.isArray(req.excluded) && req.excluded.every(number => typeof number === "number")
         && typeof req.method === "string" && typeof req.target === "string" && isStringList(req.headers)
         && req.body instanceof Uint8Array;
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -5,7 +5,7 @@
 import { Admission, AttemptOutcome } from "@cassiapick/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { forwardBody } from "./answer-body.js";
+import type { AnswerWriter } from "./answer-writer.js";
 import type { Attempt, AttemptResult } from "./attempt.js";
 import { decodeForwardRequest, encodeForwardResult, forwardResultHeader, forwardTarget } from "./forward-protocol.js";
 import type { ForwardRequest, ForwardResult } from "./forward-protocol.js";
@@ -20,6 +20,7 @@
     metrics: GatewayMetrics;
     /** Longest body of a caller's request, in bytes. */
     maxBodyBytes: () => number;
+    answerWriter: AnswerWriter;
 }
 
 /** Server for other entry hosts. */
@@ -77,7 +78,7 @@
             { outcome, detail, server, isLeaving, answer: { status, headers: [...headers] } },
             stream === undefined ? body.length : undefined,
         );
-        forwardBody(res, answer);
+        options.answerWriter.write(res, answer);
     };
 
     /** Starts the attempt; returns why there is none if no server takes the request. */
@@ -87,6 +88,9 @@
         if (requestKey !== undefined && options.quarantine.admit(requestKey, clock()).admission === Admission.Quarantined) {
             return "the request is quarantined";
         }
+        if (forwarded.hasLargeAnswer === true && options.answerBudget?.isShort() === true) {
+            return "the host holds too many bytes of answers";
+        }
         const choice = pool.choose(service, repeatability, new Set(forwarded.excluded), clock());
         if (choice === undefined) {
             return path.isServiceLost(service) ? "no path to the servers" : "no server takes requests";
@@ -99,6 +103,7 @@
                 latencyObjectiveMs,
                 service,
                 repeatability,
+                hasLargeAnswer: forwarded.hasLargeAnswer,
                 method,
                 target,
                 headers: forwarded.headers,
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -3,6 +3,7 @@
  * the rest is a stream. Attempts at backend servers and requests to other entry hosts both use it.
  */
 import { AttemptOutcome } from "@cassiapick/core";
+import type { ByteBudget } from "@cassiapick/core";
 import { splitAddress } from "@cassiapick/wire";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
@@ -76,12 +77,16 @@
     maxHeadBytes?: number;
     /** Timeout for the whole call, in milliseconds; the rest of a long body may take a little longer. */
     timeoutMs: number;
+    /** Longer bodies are streamed to the caller, in bytes. */
+    maxBufferedBytes?: number;
+    /** The bytes that the host may hold; a body that exceeds them is streamed, as fast as its caller reads. */
+    budget?: ByteBudget;
     readHead: (res: IncomingMessage) => ResponseHead;
     onConnected?: () => void;
 }
 
-/** Longer bodies are streamed to the caller. */
-const maxBufferedBytes = 256 * 1024;
+/** Longer bodies are streamed to the caller, unless {@link HttpCallOptions.maxBufferedBytes} says otherwise. */
+const defaultMaxBufferedBytes = 256 * 1024;
 const serverErrorStatus = 500;
 /** A body that is still being read this long after the timeout of its call is broken off, in milliseconds; it may have no end. */
 const maxStreamOverrunMs = 1000;
@@ -110,6 +115,8 @@
         resolveResult = resolve;
     });
     const startedAt = performance.now();
+    const { budget, maxBufferedBytes = defaultMaxBufferedBytes } = options;
+    let bufferedBytes = 0;
     let isFinished = false;
     let interimResponses = 0;
     let response: IncomingMessage | undefined;
@@ -138,6 +145,8 @@
         isFinished = true;
         clearTimeout(timer);
         clearTimeout(connectTimer);
+        // Whoever writes the answer to the caller counts what it holds.
+        budget?.remove(bufferedBytes);
         resolveResult({ outcome, detail, answer });
         if (answer?.stream === undefined) {
             client.destroy();
@@ -163,10 +172,9 @@
 
     const readBody = (res: IncomingMessage, { status, headers }: Extract<ResponseHead, { kind: "answer"; }>): void => {
         const chunks: Buffer[] = [];
-        let bytes = 0;
         const finishWithAnswer = (stream?: IncomingMessage): void => {
             const outcome = status >= serverErrorStatus ? AttemptOutcome.ServerError : AttemptOutcome.Answered;
-            finish(outcome, `status ${status}, ${describeFraming(res.rawHeaders)}, ${bytes} bytes`, {
+            finish(outcome, `status ${status}, ${describeFraming(res.rawHeaders)}, ${bufferedBytes} bytes`, {
                 status,
                 headers,
                 body: Buffer.concat(chunks),
@@ -179,8 +187,9 @@
                 return;
             }
             chunks.push(chunk);
-            bytes += chunk.length;
-            if (bytes > maxBufferedBytes) {
+            bufferedBytes += chunk.length;
+            budget?.add(chunk.length);
+            if (bufferedBytes > maxBufferedBytes || budget?.hasRoom(0) === false) {
                 res.pause();
                 res.removeAllListeners("data");
                 finishWithAnswer(res);
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -106,6 +106,7 @@
         latencyObjectiveMs: route.latencyObjectiveMs,
         service,
         repeatability: route.repeatability,
+        hasLargeAnswer: route.hasLargeAnswers,
         method: req.method,
         target: req.target,
         headers: req.headers,
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at a backend server, with the evidence that it gives about the server and the path to it. */
 import { AttemptOutcome, ServerObservation } from "@cassiapick/core";
 import type {
+    ByteBudget,
     LimitAnswer,
     PathMonitor,
     RequestQuarantine,
@@ -11,7 +12,7 @@
 } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { afterArrivedEvents } from "./after-arrived-events.js";
-import { attemptTimeoutMarginMs, remainingMsAt } from "./attempt.js";
+import { attemptTimeoutMarginMs, maxBufferedBytesOf, remainingMsAt } from "./attempt.js";
 import type { Attempt, AttemptRequest } from "./attempt.js";
 import { startExchange } from "./exchange.js";
 import type { ExchangeResult } from "./exchange.js";
@@ -32,6 +33,8 @@
     connectServer: Connect;
     clock: () => number;
     log: EventLog;
+    /** The bytes of answers that this host may hold. */
+    answerBudget?: ByteBudget;
     /** Called when an attempt is evidence of an unhealthy server. */
     onServerFailed: () => void;
     /** Called with what each ended attempt shows about the limit of its server. */
@@ -96,6 +99,8 @@
         connect: dependencies.connectServer,
         connectTimeoutMs,
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
+        maxBufferedBytes: maxBufferedBytesOf(req),
+        budget: dependencies.answerBudget,
         onConnected: () => {
             clearTimeout(slowConnectTimer);
             path.connected(server);
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -9,7 +9,7 @@
 import { ReplyKind } from "../lib/request-runner.js";
 import type { Reply } from "../lib/request-runner.js";
 import { stopSchedule } from "../lib/stop-schedule.js";
-import { testClock, testHeaderNames } from "./test-gateway.js";
+import { createTestAnswerWriter, testClock, testHeaderNames } from "./test-gateway.js";
 
 const route = {
     name: "route",
@@ -61,6 +61,7 @@
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
         server = createCallerServer({
             headerNames: testHeaderNames,
+            answerWriter: createTestAnswerWriter(),
             route: () => ({ kind: "routed", route, configNumber: 1 }),
             waitForNextConfig: () => Promise.resolve(),
             run: () => {
--- a/packages/gateway/src/test/forward_test.ts
+++ b/packages/gateway/src/test/forward_test.ts
@@ -11,7 +11,14 @@
 import type { ForwardServer } from "../lib/forward-server.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
 import { connectTcp } from "../lib/http-call.js";
-import { createLoneHost, intactPath, testClock as clock, testHeaderNames as headerNames, testServer } from "./test-gateway.js";
+import {
+    createLoneHost,
+    createTestAnswerWriter,
+    intactPath,
+    testClock as clock,
+    testHeaderNames as headerNames,
+    testServer,
+} from "./test-gateway.js";
 
 const loopback = "127.0.0.1";
 const longBodyBytes = 1024 * 1024;
@@ -57,6 +64,7 @@
             log: silentLog,
             metrics: createGatewayMetrics(),
             maxBodyBytes: () => 10_000,
+            answerWriter: createTestAnswerWriter(),
         });
         cleanups.push(() => server.close());
         return { server, address: `${loopback}:${await server.listen(loopback, 0)}` };
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -1,6 +1,14 @@
 /** What several tests of the gateway use. */
-import { createRandom, createRequestQuarantine, createRouteLatencyTracker, ServingState } from "@cassiapick/core";
+import {
+    createByteBudget,
+    createRandom,
+    createRequestQuarantine,
+    createRouteLatencyTracker,
+    ServingState,
+} from "@cassiapick/core";
 import type { FleetServer, PathMonitor, RequestQuarantine } from "@cassiapick/core";
+import { createAnswerWriter } from "../lib/answer-writer.js";
+import type { AnswerWriter } from "../lib/answer-writer.js";
 import type { ServerEndCheck } from "../lib/server-end-check.js";
 
 export const testHeaderNames = {
@@ -65,3 +73,7 @@
     keeper: "",
     revision: 1,
 };
+
+/** Writes the answers of a host that has memory for all of them. */
+export const createTestAnswerWriter = (): AnswerWriter =>
+    createAnswerWriter({ budget: createByteBudget(Infinity), clock: testClock });
