Decode workspaces, their keys and public routes

It refuses a key of two workspaces, negative rates, empty or double names and tables that can't be read; a fault of the JSON is named by its place only, as the parser's message quotes the document. An unknown route type still runs at most once, and is logged (CP2021). Differences of configurations carry changed and removed workspaces by name; those of a build without workspaces leave them as they are.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,4 @@
 export * from "./lib/scheduler.js";
 export * from "./lib/state-messages.js";
 export * from "./lib/tables.js";
+export * from "./lib/workspace/index.js";
--- a/packages/core/src/lib/gateway/gateway-config.ts
+++ b/packages/core/src/lib/gateway/gateway-config.ts
@@ -1,5 +1,8 @@
 /** Published configurations as entry hosts use them, and differences between two configurations. */
 
+import { applyWorkspaceDelta, diffWorkspaces } from "../workspace/workspace-delta.js";
+import type { WorkspaceDelta } from "../workspace/workspace-delta.js";
+
 /** Whether a route's requests may run on backend servers more than once. */
 export enum Repeatability {
     Repeatable = "repeatable",
@@ -78,7 +81,7 @@
 }
 
 /** The changes that turn a configuration into a newer one. */
-export interface ConfigDelta {
+export interface ConfigDelta extends WorkspaceDelta {
     baseNumber: number;
     number: number;
     changedRoutes: GatewayRoute[];
@@ -100,6 +103,7 @@
         removedRoutes: base.routes.map(route => route.name).filter(name => !nextNames.has(name)),
         services: isEqual(base.services, next.services) ? undefined : next.services,
         limits: isEqual(base.limits, next.limits) ? undefined : next.limits,
+        ...diffWorkspaces(base.workspaces, next.workspaces),
     };
 };
 
@@ -115,10 +119,12 @@
     for (const route of delta.changedRoutes) {
         routes.set(route.name, route);
     }
+    const workspaces = applyWorkspaceDelta(base.workspaces, delta);
     return {
         number: delta.number,
         routes: [...routes.values()],
         services: delta.services ?? base.services,
         limits: delta.limits ?? base.limits,
+        ...(workspaces === undefined ? {} : { workspaces }),
     };
 };
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -78,6 +78,11 @@
         "A published configuration was committed, or one with the same or a higher number was already stored.",
     ),
     configurationRefused: warn("CP2010", "A published configuration was refused.", "Correct what the message names."),
+    configurationQuestionable: warn(
+        "CP2021",
+        "A published configuration has content that this version does not know; the message says how it is in force.",
+        "Correct the configuration, or use a version that knows it.",
+    ),
     stateUnavailable: warn(
         "CP2011",
         "A request to the state hosts was not answered in time; its outcome is unknown.",
@@ -137,6 +142,11 @@
         "Find the attempts of the request by its requestId; check the backend servers that they name.",
     ),
     requestUnrouted: warn("CP4004", "No route matches a request.", "Check the host name and the path against the routes."),
+    requestUnauthorized: warn(
+        "CP4009",
+        "A request was refused, as its route needs a key that the configuration in force does not have.",
+        "Compare the keys of the caller and of the configuration; the reason says whether a key was sent.",
+    ),
     sendEnded: info("CP4005", "One attempt of a request at a backend server ended without an answer that could be passed on."),
     requestForwarded: info(
         "CP4007",
