Check the keys of callers and name their workspaces to servers

Change: `createConfigInForce` holds the configuration, routes requests and decides about their keys. A missing key is proved by a view that was confirmed after the request arrived, for which it waits 1 s at most (500 requests at once); else by one that is recent enough for published changes, and otherwise the answer is 503. Keys are checked again before each attempt, so that a withdrawn key stops for requests that wait. A host that was paused for 1.5 s or more, or whose view was never confirmed, serves no key before its view is confirmed (1 s at most after a pause). The headers of key and workspace are always dropped. The caller server gives reading requests and logging outcomes to modules of their own.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,33 +1,26 @@
 /** Serves callers over HTTP: reads and routes requests, runs them, and forwards the answers. */
-import type { CallerLimits, GatewayRoute } from "@cassiapick/core";
+import type { CallerLimits } from "@cassiapick/core";
 import { requestKeyOf } from "@cassiapick/operations";
 import type { EventLog } from "@cassiapick/operations";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { forwardBody } from "./answer-body.js";
+import type { AccessLoss, ConfigInForce, RoutingQuery } from "./config-in-force.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { endToEndHeaders, headerValue } from "./headers.js";
 import type { HeaderNames } from "./headers.js";
+import { callerDeadlineMs, keyDigestIn, serverHeaders } from "./incoming-request.js";
 import { listenOn } from "./listen-on.js";
+import { createOutcomeLog } from "./outcome-log.js";
 import { readBody } from "./read-body.js";
 import { ReplyKind } from "./request-runner.js";
-import type { CallerRequest, Reply, RequestRun } from "./request-runner.js";
-
-/** Result of routing a request. */
-export type RoutingResult =
-    | { kind: "routed"; route: GatewayRoute; configNumber: number; }
-    /** No route matches in a configuration that is known to be the newest. */
-    | { kind: "unrouted"; configNumber: number; }
-    /** The newest configuration is unknown; it may arrive within `waitMs`. */
-    | { kind: "unsure"; retryAfterMs: number; waitMs: number; };
+import type { AccessLossReply, CallerRequest, Reply, RequestRun } from "./request-runner.js";
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
     headerNames: HeaderNames;
-    route: (hostHeader: string, target: string) => RoutingResult;
-    /** Resolves when a newer configuration is in force, or after `waitMs`. */
-    waitForNextConfig: (waitMs: number) => Promise<void>;
+    configInForce: Pick<ConfigInForce, "route" | "waitForRoute" | "accessLoss">;
     run: (req: CallerRequest) => RequestRun;
     clock: () => number;
     log: EventLog;
@@ -56,13 +49,9 @@
     headerTimeoutMs: 3000,
     idleTimeoutMs: 15_000,
 };
-/** Without a caller's deadline, only the route's timeout applies. */
-const noDeadlineMs = Infinity;
 const msPerSecond = 1000;
-/** Fraction of the caller's deadline that a request may wait for the first configuration. */
+/** Fraction of the caller's deadline that a request may wait for the newest configuration. */
 const maxConfigWaitFraction = 0.3;
-/** Most served requests that are logged per second; the others are only counted. */
-const maxServedLogsPerSecond = 20;
 
 /** `Retry-After` of a stopping host, in milliseconds: other hosts take the request at once. */
 const stoppingRetryAfterMs = 20;
@@ -70,27 +59,27 @@
 const statusByReplyKind: Record<Exclude<ReplyKind, ReplyKind.Answer | ReplyKind.CallerDisconnected>, number> = {
     [ReplyKind.Refused]: 503,
     [ReplyKind.OverQuota]: 429,
+    [ReplyKind.Unauthorized]: 401,
     [ReplyKind.Failed]: 502,
     [ReplyKind.TimedOut]: 504,
 };
 
+const unauthorizedText = "This request needs a key that is in force. Send it with one.";
+
+const replyToAccessLoss = (loss: AccessLoss): AccessLossReply =>
+    loss.kind === "unauthorized"
+        ? { kind: ReplyKind.Unauthorized, reason: "the key of the request was withdrawn" }
+        : { kind: ReplyKind.Refused, retryAfterMs: loss.retryAfterMs, reason: loss.reason };
+
 /** Creates the server for callers. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-    const { headerNames, clock, log, metrics } = options;
+    const { headerNames, configInForce, clock, log, metrics } = options;
     const sockets = new Set<Socket>();
     let limits = defaultLimits;
     let openRequestCount = 0;
     let isDraining = false;
     let isRefusing = false;
-    let logSecond = 0;
-    let logsInSecond = 0;
-
-    const mayLogServed = (): boolean => {
-        const second = Math.floor(clock() / msPerSecond);
-        logsInSecond = second === logSecond ? logsInSecond + 1 : 1;
-        logSecond = second;
-        return logsInSecond <= maxServedLogsPerSecond;
-    };
+    const logOutcome = createOutcomeLog(options);
 
     const respond = (req: IncomingMessage, res: ServerResponse, status: number, text: string, retryAfterMs?: number): void => {
         if (res.destroyed || res.headersSent) {
@@ -123,42 +112,6 @@
         forwardBody(res, answer);
     };
 
-    const logOutcome = (caller: CallerRequest, reply: Reply): void => {
-        const elapsedMs = Math.round(clock() - caller.arrivedAt);
-        const { requestId, requestKey, callerAddress, route, configNumber } = caller;
-        const commonFields = { requestId, route: route.name, configNumber, elapsedMs };
-        metrics.increment("cassiapick_requests_total", { route: route.name, outcome: reply.kind });
-        metrics.observe("cassiapick_request_ms", elapsedMs);
-        if (reply.kind === ReplyKind.Answer) {
-            const { status } = reply.answer;
-            if (status >= 400 || mayLogServed()) {
-                const { serverId, attemptCount, detail } = reply;
-                log.log("requestServed", { ...commonFields, status, serverId, sends: attemptCount, detail });
-            }
-        }
-        else if (reply.kind === ReplyKind.CallerDisconnected) {
-            log.log("callerLeft", commonFields);
-        }
-        else if (reply.kind === ReplyKind.Refused || reply.kind === ReplyKind.OverQuota) {
-            log.log("requestRefused", {
-                ...commonFields,
-                requestKey,
-                caller: callerAddress,
-                reason: reply.reason,
-                retryAfterMs: Math.round(reply.retryAfterMs),
-            });
-        }
-        else {
-            log.log("requestFailed", {
-                ...commonFields,
-                requestKey,
-                caller: callerAddress,
-                outcome: reply.kind,
-                reason: reply.reason,
-            });
-        }
-    };
-
     const runAndRespond = async (req: IncomingMessage, res: ServerResponse, caller: CallerRequest): Promise<void> => {
         const run = options.run(caller);
         res.on("close", () => {
@@ -179,17 +132,11 @@
             req,
             res,
             statusByReplyKind[reply.kind],
-            reply.reason,
+            reply.kind === ReplyKind.Unauthorized ? unauthorizedText : reply.reason,
             "retryAfterMs" in reply ? reply.retryAfterMs : undefined,
         );
     };
 
-    const callerDeadlineMs = (req: IncomingMessage): number => {
-        const text = headerValue(req.rawHeaders, headerNames.deadlineMs);
-        const value = text === undefined ? NaN : Number(text);
-        return Number.isFinite(value) && value >= 0 ? value : noDeadlineMs;
-    };
-
     const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const arrivedAt = clock();
         const read = await readBody(req, limits.maxBodyBytes);
@@ -203,11 +150,12 @@
         const { body } = read;
         const hostHeader = headerValue(req.rawHeaders, "host") ?? "";
         const target = req.url ?? "/";
-        const deadlineMs = callerDeadlineMs(req);
-        let routing = options.route(hostHeader, target);
-        if (routing.kind === "unsure" && routing.waitMs > 0) {
-            await options.waitForNextConfig(Math.min(routing.waitMs, deadlineMs * maxConfigWaitFraction));
-            routing = options.route(hostHeader, target);
+        const deadlineMs = callerDeadlineMs(req, headerNames);
+        const query: RoutingQuery = { hostHeader, target, keyDigest: keyDigestIn(req, headerNames), arrivedAt };
+        let routing = configInForce.route(query);
+        if (routing.kind === "unsure") {
+            const waitMs = Math.min(routing.waitMs, deadlineMs * maxConfigWaitFraction);
+            routing = await configInForce.waitForRoute(query, waitMs);
         }
         if (res.destroyed) {
             return;
@@ -225,8 +173,9 @@
             respond(req, res, 404, "No route takes this request. Check the host name and the path.");
             return;
         }
+        const callerAddress = req.socket.remoteAddress ?? "";
         if (routing.kind === "unsure") {
-            log.log("requestRefused", { requestId, reason: "the newest configuration is not known", hostHeader, target });
+            log.log("requestRefused", { requestId, reason: routing.reason, hostHeader, target });
             metrics.increment("cassiapick_requests_total", { route: "", outcome: "unsure" });
             respond(
                 req,
@@ -237,29 +186,42 @@
             );
             return;
         }
-        const hasBody = body.length > 0 || headerValue(req.rawHeaders, "content-length") !== undefined;
-        const forwardedHeaders = endToEndHeaders(req.rawHeaders, [
-            "content-length",
-            headerNames.deadlineMs,
-            headerNames.expectedServer,
-        ]);
-        const hasContentLength = hasBody || headerValue(req.rawHeaders, "transfer-encoding") !== undefined;
         const { route, configNumber } = routing;
+        if (routing.kind === "unauthorized") {
+            const { reason } = routing;
+            const waitedMs = Math.round(clock() - arrivedAt);
+            log.log("requestUnauthorized", {
+                requestId,
+                route: route.name,
+                configNumber,
+                reason,
+                caller: callerAddress,
+                waitedMs,
+            });
+            metrics.increment("cassiapick_requests_total", { route: route.name, outcome: ReplyKind.Unauthorized });
+            respond(req, res, statusByReplyKind[ReplyKind.Unauthorized], unauthorizedText);
+            return;
+        }
+        const { workspace } = routing;
         const method = req.method ?? "GET";
-        const callerAddress = req.socket.remoteAddress ?? "";
         await runAndRespond(req, res, {
             requestId,
             requestKey: requestKeyOf({ method, host: hostHeader, target, body }),
             callerAddress,
             route,
             configNumber,
-            priority: route.priority,
+            workspace: workspace?.name,
+            priority: workspace?.priority ?? route.priority,
             method,
             target,
-            headers: hasContentLength ? [...forwardedHeaders, "Content-Length", String(body.length)] : forwardedHeaders,
+            headers: serverHeaders(req, body, headerNames, workspace?.name),
             body,
             arrivedAt,
             deadlineAt: arrivedAt + Math.min(route.timeoutMs, deadlineMs),
+            accessLoss: () => {
+                const loss = configInForce.accessLoss(query, route, workspace?.name);
+                return loss === undefined ? undefined : replyToAccessLoss(loss);
+            },
         });
     };
 
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -4,7 +4,6 @@
     createHostRetryBudget,
     createPathMonitor,
     createPeerSelector,
-    createRouteIndex,
     createRouteLatencyTracker,
     createServerLimits,
     createServerPool,
@@ -14,10 +13,10 @@
     HostPhase,
     LinkMessageKind,
 } from "@cassiapick/core";
-import type { GatewayConfig, LinkMessage, PoolLocality, Random, RetryBound, RouteIndex, ServerRow } from "@cassiapick/core";
+import type { GatewayConfig, LinkMessage, PoolLocality, Random, RetryBound, ServerRow } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { createCallerServer } from "./caller-server.js";
-import type { RoutingResult } from "./caller-server.js";
+import { createConfigInForce, tickMs, unknownConfigRetryMs } from "./config-in-force.js";
 import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
@@ -48,6 +47,10 @@
     retryBound: RetryBound;
     /** Time within which a published change is in force, in milliseconds; an older view can't prove that a route is missing. */
     applyWithinMs: number;
+    /** Time within which a withdrawn key must stop, in milliseconds. */
+    revokeWithinMs: number;
+    /** Whether the host refuses requests under keys while its view is older than `revokeWithinMs`. */
+    refusesOldViews: boolean;
     /** Time limit of a graceful stop, in milliseconds. */
     stopWithinMs: number;
     /** Opens connections to backend servers; by default, over TCP. */
@@ -72,10 +75,6 @@
 /** Without a majority of the state hosts, a starting host serves an unconfirmed configuration after this time. */
 const unconfirmedConfigFallbackMs = 3000;
 const stopPollMs = 50;
-/** `Retry-After` while the newest configuration is unknown, and the interval between updates of the phase, in milliseconds. */
-const unknownConfigRetryMs = 400;
-/** Requests wait for the first configuration until this long after the start, in milliseconds. */
-const firstConfigTimeoutMs = 1500;
 /** Interval at which servers whose path is lost may be tried, in milliseconds. */
 const pathTickMs = 100;
 /** Number of entry hosts that share the retry reserve, assumed until a state host sends the actual number. */
@@ -122,36 +121,13 @@
     const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
-    let config: GatewayConfig | undefined;
-    let routes: RouteIndex = createRouteIndex([]);
+    const configInForce = createConfigInForce({ ...options, viewAgeMs: () => link.viewAgeMs() });
     let serversRevision = 0;
     let phase = HostPhase.Leaving;
     let isStopping = false;
 
     const isViewFresh = (): boolean => link.viewAgeMs() <= options.applyWithinMs;
 
-    const route = (hostHeader: string, target: string): RoutingResult => {
-        if (config === undefined) {
-            // State hosts that were killed together with this host serve again within a second.
-            const waitMs = Math.max(0, monotonicStartMs + firstConfigTimeoutMs - clock());
-            return { kind: "unsure", retryAfterMs: unknownConfigRetryMs, waitMs };
-        }
-        const matchedRoute = routes.find(hostHeader, target);
-        if (matchedRoute !== undefined) {
-            return { kind: "routed", route: matchedRoute, configNumber: config.number };
-        }
-        return isViewFresh()
-            ? { kind: "unrouted", configNumber: config.number }
-            : { kind: "unsure", retryAfterMs: unknownConfigRetryMs, waitMs: 0 };
-    };
-
-    let configWaiters: (() => void)[] = [];
-    const waitForNextConfig = (waitMs: number): Promise<void> =>
-        new Promise(resolve => {
-            configWaiters.push(resolve);
-            setTimeout(resolve, waitMs);
-        });
-
     const requestQuarantine = createGatewayQuarantine({
         ...options,
         pool,
@@ -178,13 +154,12 @@
     const forwardServer = createForwardServer({
         ...attemptDependencies,
         metrics,
-        maxBodyBytes: () => config?.limits.maxBodyBytes ?? 0,
+        maxBodyBytes: () => configInForce.current()?.limits.maxBodyBytes ?? 0,
     });
 
     const callerServer = createCallerServer({
         headerNames: options.headerNames,
-        route,
-        waitForNextConfig,
+        configInForce,
         run: req => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
         clock,
         log,
@@ -192,18 +167,14 @@
     });
 
     const applyConfig = (newConfig: GatewayConfig | undefined): void => {
-        if (newConfig === undefined || (config !== undefined && newConfig.number <= config.number)) {
+        if (newConfig === undefined || !configInForce.apply(newConfig)) {
             return;
         }
-        config = newConfig;
-        routes = createRouteIndex(newConfig.routes);
         callerServer.setLimits(newConfig.limits);
-        const waiters = configWaiters;
-        configWaiters = [];
-        waiters.forEach(resolve => resolve());
         log.log("configurationInForce", {
             number: newConfig.number,
             routes: newConfig.routes.length,
+            workspaces: newConfig.workspaces?.length,
             viewAgeMs: Math.round(link.viewAgeMs()),
         });
     };
@@ -221,9 +192,11 @@
     const handlers: Handlers = {
         [LinkMessageKind.Config]: message => applyConfig(message.config),
         [LinkMessageKind.ConfigDelta]: ({ delta }) => {
-            const newConfig = applyDelta(config, delta);
+            const heldConfig = configInForce.current();
+            const newConfig = applyDelta(heldConfig, delta);
             if (newConfig === undefined) {
-                log.log("updateUnusable", { number: delta.number, baseNumber: delta.baseNumber, heldNumber: config?.number });
+                const { number, baseNumber } = delta;
+                log.log("updateUnusable", { number, baseNumber, heldNumber: heldConfig?.number });
             }
             applyConfig(newConfig);
         },
@@ -262,7 +235,7 @@
             region: locality.regions[locality.availabilityZone] ?? "",
             startedAt,
             phase,
-            configNumber: config?.number ?? 0,
+            configNumber: configInForce.current()?.number ?? 0,
             serversRevision,
             takesLimits: true,
             takesEvidence: true,
@@ -278,7 +251,7 @@
     });
 
     const isReady = (): boolean =>
-        !isStopping && config !== undefined && pool.size() > 0
+        !isStopping && configInForce.current() !== undefined && configInForce.mayServeKeys() && pool.size() > 0
         && (phase !== HostPhase.Leaving || isViewFresh() || clock() - monotonicStartMs > unconfirmedConfigFallbackMs);
 
     const currentPhase = (): HostPhase => {
@@ -296,7 +269,11 @@
             log.log("hostChanged", { host: options.hostId, change: next });
         }
     };
-    const timers = [setInterval(updatePhase, unknownConfigRetryMs), setInterval(() => path.tick(), pathTickMs)];
+    const timers = [
+        setInterval(updatePhase, unknownConfigRetryMs),
+        setInterval(() => configInForce.tick(), tickMs),
+        setInterval(() => path.tick(), pathTickMs),
+    ];
 
     const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
 
@@ -329,7 +306,7 @@
         renderMetrics: () =>
             metrics.render({
                 cassiapick_view_age_ms: Number.isFinite(link.viewAgeMs()) ? Math.round(link.viewAgeMs()) : -1,
-                cassiapick_configuration_number: config?.number ?? 0,
+                cassiapick_configuration_number: configInForce.current()?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
--- a/packages/gateway/src/lib/headers.ts
+++ b/packages/gateway/src/lib/headers.ts
@@ -17,6 +17,10 @@
     serverLimit: string;
     /** "1" in the answers of a server that is leaving. */
     serverLeaving: string;
+    /** The caller's key; it never reaches a server. */
+    key: string;
+    /** Name of the caller's workspace, for the server; a caller's own header of this name is dropped. */
+    workspace: string;
 }
 
 /** Alternating header names and values, like `rawHeaders` of Node.js. */
@@ -32,6 +36,12 @@
     return undefined;
 };
 
+/** Returns the value of a header that may occur once only; `undefined` if it is missing or occurs several times. */
+export const singleHeaderValue = (headers: RawHeaders, name: string): string | undefined => {
+    const values = headers.filter((_, index) => index % 2 === 1 && headers[index - 1]!.toLowerCase() === name);
+    return values.length === 1 ? values[0] : undefined;
+};
+
 /** Removes hop-by-hop headers, the headers that the Connection header names, and `dropped`. */
 export const endToEndHeaders = (headers: RawHeaders, dropped: readonly string[] = []): string[] => {
     const connectionOptions = (headerValue(headers, "connection") ?? "").split(",").map(name => name.trim().toLowerCase());
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -40,6 +40,8 @@
     arrivedAt: number;
     /** When the caller's deadline or the route's timeout passes, in milliseconds of the host's clock. */
     deadlineAt: number;
+    /** Returns the reply to a request that may not be sent any more, as its key was withdrawn while it waited. */
+    accessLoss?: () => AccessLossReply | undefined;
 }
 
 export enum ReplyKind {
@@ -51,15 +53,22 @@
     Failed = "failed",
     /** The request's workspace has used up its quota; the request has not run. */
     OverQuota = "over-quota",
+    /** The request's key was withdrawn while it waited; the request has not run. */
+    Unauthorized = "unauthorized",
     TimedOut = "timed-out",
     /** The caller has closed its connection. */
     CallerDisconnected = "abandoned",
 }
 
+/** The reply to a request that may not be sent. */
+export type AccessLossReply =
+    | { kind: ReplyKind.Refused; retryAfterMs: number; reason: string; }
+    | { kind: ReplyKind.Unauthorized; reason: string; };
+
 /** The reply to the caller. */
 export type Reply =
     | { kind: ReplyKind.Answer; answer: ServerAnswer; serverId?: string; attemptCount: number; detail: string; }
-    | { kind: ReplyKind.Refused; retryAfterMs: number; reason: string; }
+    | AccessLossReply
     | { kind: ReplyKind.OverQuota; retryAfterMs: number; reason: string; }
     | { kind: ReplyKind.Failed; reason: string; }
     | { kind: ReplyKind.TimedOut; reason: string; }
@@ -189,7 +198,10 @@
 
     const scheduleHedge = (attempt: Attempt): void => {
         schedule(dependencies.latencies.hedgeAfterMs(route.name, route.latencyObjectiveMs), () => {
-            if (!openAttempts.has(attempt) || quarantine.admit(requestKey, clock()).admission !== Admission.Free) {
+            if (
+                !openAttempts.has(attempt) || req.accessLoss?.() !== undefined
+                || quarantine.admit(requestKey, clock()).admission !== Admission.Free
+            ) {
                 return;
             }
             const plan = planNextAttempt();
@@ -253,6 +265,13 @@
     const tryNextServer = (): void => turns.take(startNextAttempt, deny);
 
     const startNextAttempt = (turn: Turn): void => {
+        const accessLoss = req.accessLoss?.();
+        if (accessLoss !== undefined) {
+            turns.end(turn);
+            // The reply says that the request has not run.
+            conclude(mayHaveRun() ? { kind: ReplyKind.Failed, reason: accessLoss.reason } : accessLoss);
+            return;
+        }
         const plan = planNextAttempt();
         if (plan.kind !== "none") {
             startAttempt(plan, turn);
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -61,8 +61,11 @@
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
         server = createCallerServer({
             headerNames: testHeaderNames,
-            route: () => ({ kind: "routed", route, configNumber: 1 }),
-            waitForNextConfig: () => Promise.resolve(),
+            configInForce: {
+                route: () => ({ kind: "routed", route, configNumber: 1 }),
+                waitForRoute: () => Promise.resolve({ kind: "routed", route, configNumber: 1 }),
+                accessLoss: () => undefined,
+            },
             run: () => {
                 const reply = new Promise<Reply>(resolve => runs.push(resolve));
                 notifyRun();
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -11,6 +11,8 @@
     signature: "x-signature",
     serverLimit: "x-limit",
     serverLeaving: "x-leaving",
+    key: "x-key",
+    workspace: "x-workspace",
 };
 
 export const testClock = (): number => performance.now();
