--- a/packages/gateway/src/lib/headers.ts
+++ b/packages/gateway/src/lib/headers.ts
@@ -44,7 +44,8 @@
 
 /** Removes hop-by-hop headers, the headers that the Connection header names, and `dropped`. */
 export const endToEndHeaders = (headers: RawHeaders, dropped: readonly string[] = []): string[] => {
-    const connectionOptions = (headerValue(headers, "connection") ?? "").split(",").map(name => name.trim().toLowerCase());
+    const connectionValues = headers.filter((_, index) => index % 2 === 1 && headers[index - 1]!.toLowerCase() === "connection");
+    const connectionOptions = connectionValues.join(",").split(",").map(name => name.trim().toLowerCase());
     const droppedNames = new Set([...connectionOptions, ...dropped]);
     const result: string[] = [];
     for (let index = 0; index + 1 < headers.length; index += 2) {
