--- a/packages/core/src/lib/transfer/link-schedule.ts
+++ b/packages/core/src/lib/transfer/link-schedule.ts
@@ -26,7 +26,7 @@
 
 /** The large answers of one host. Times are in milliseconds of the host's clock. */
 export interface LinkSchedule {
-    add(transfer: Transfer): void;
+    add(transfer: Transfer, now: number): void;
     /** Returns the next part to be written and counts it as on its way; `undefined` while enough bytes are. */
     next(now: number): Part | undefined;
     /** Records that the link has taken the part of `transfer` that was on its way. */
@@ -54,10 +54,14 @@
  */
 const maxUnprovenParts = 2;
 
+/** A large answer that has waited longer than this for its turn goes before all that have not, in milliseconds. */
+const maxTurnWaitMs = 1000;
+
 interface OpenTransfer {
     transfer: Transfer;
     /** Bytes on their way; a transfer has one part on its way at a time, so that its caller can't hold the link. */
     inFlight: number;
+    /** When its last part was written, or when it was added. */
     sentAt: number;
     /** Whether the caller has read a part in time lately. */
     isProven: boolean;
@@ -75,9 +79,15 @@
     const isStalled = (entry: OpenTransfer, now: number): boolean =>
         entry.inFlight > 0 && now - entry.sentAt >= stallAfterMs(entry);
 
-    const isBefore = (a: OpenTransfer, b: OpenTransfer | undefined): boolean => {
-        if (b === undefined || a.transfer.priority !== b.transfer.priority) {
-            return b === undefined || a.transfer.priority < b.transfer.priority;
+    const isBefore = (a: OpenTransfer, b: OpenTransfer | undefined, now: number): boolean => {
+        if (b === undefined) {
+            return true;
+        }
+        if (now - Math.min(a.sentAt, b.sentAt) > maxTurnWaitMs) {
+            return a.sentAt < b.sentAt;
+        }
+        if (a.transfer.priority !== b.transfer.priority) {
+            return a.transfer.priority < b.transfer.priority;
         }
         return a.transfer.remainingBytes < b.transfer.remainingBytes;
     };
@@ -96,21 +106,21 @@
             }
             else if (entry.transfer.remainingBytes > 0) {
                 if (entry.isProven) {
-                    bestProven = isBefore(entry, bestProven) ? entry : bestProven;
+                    bestProven = isBefore(entry, bestProven, now) ? entry : bestProven;
                 }
                 else {
-                    bestUnproven = isBefore(entry, bestUnproven) ? entry : bestUnproven;
+                    bestUnproven = isBefore(entry, bestUnproven, now) ? entry : bestUnproven;
                 }
             }
         }
         const proven = inFlight === 0 || inFlight + partBytes <= maxInFlight ? bestProven : undefined;
         const unproven = unprovenParts < maxUnprovenParts ? bestUnproven : undefined;
-        return unproven !== undefined && isBefore(unproven, proven) ? unproven : proven;
+        return unproven !== undefined && isBefore(unproven, proven, now) ? unproven : proven;
     };
 
     return {
-        add: transfer => {
-            open.set(transfer, { transfer, inFlight: 0, sentAt: 0, isProven: false });
+        add: (transfer, now) => {
+            open.set(transfer, { transfer, inFlight: 0, sentAt: now, isProven: false });
         },
         next: now => {
             const entry = choose(now);
--- a/packages/core/src/test/link-schedule_test.ts
+++ b/packages/core/src/test/link-schedule_test.ts
@@ -42,12 +42,12 @@
     const read = new Set<Transfer>();
     const queue: { bytes: number; at: number; transfer?: Transfer; isWholeLarge?: boolean; }[] = [];
     for (let index = 0; index < unread; index += 1) {
-        schedule.add({ priority: 0, remainingBytes: largeBytes });
+        schedule.add({ priority: 0, remainingBytes: largeBytes }, 0);
     }
     for (const remainingBytes of large) {
         const transfer = { priority: 1, remainingBytes };
         read.add(transfer);
-        schedule.add(transfer);
+        schedule.add(transfer, 0);
     }
     if (isNaive) {
         large.forEach(bytes => queue.push({ bytes, at: 0, isWholeLarge: true }));
@@ -121,7 +121,7 @@
         for (let kbps = 1002; kbps <= 12_000; kbps += 13) {
             const schedule = createLinkSchedule({ bytesPerMs: kbps / 1000 * 125 });
             const transfer: Transfer = { priority: 1, remainingBytes: largeBytes };
-            schedule.add(transfer);
+            schedule.add(transfer, 0);
             let bytes = 0;
             for (let part = schedule.next(0); part !== undefined; part = schedule.next(0)) {
                 expect(Number.isInteger(part.bytes), `${kbps} kbit/s: a part of ${part.bytes} bytes`).to.equal(true);
@@ -139,7 +139,7 @@
             { priority: 1, remainingBytes: 90_000 },
             { priority: 1, remainingBytes: 8000 },
         ];
-        transfers.forEach(transfer => schedule.add(transfer));
+        transfers.forEach(transfer => schedule.add(transfer, 0));
         const order: number[] = [];
         for (let now = 0; order.length < 3; now += 1) {
             const part = schedule.next(now);
@@ -151,4 +151,29 @@
         }
         expect(order).to.deep.equal([2, 1, 0]);
     });
+
+    it("serve an answer of low priority beside urgent ones without end", () => {
+        const schedule = createLinkSchedule({ bytesPerMs: 250 });
+        const patient: Transfer = { priority: 5, remainingBytes: 20_000 };
+        schedule.add(patient, 0);
+        let doneAt = Infinity;
+        const inFlight: { transfer: Transfer; takenAt: number; }[] = [];
+        let linkFreeAt = 0;
+        for (let now = 0; now < 30_000 && doneAt === Infinity; now += 1) {
+            if (now % 2000 === 0) {
+                schedule.add({ priority: 0, remainingBytes: largeBytes }, now);
+            }
+            for (let part = schedule.next(now); part !== undefined; part = schedule.next(now)) {
+                linkFreeAt = Math.max(linkFreeAt, now) + part.bytes / 250;
+                inFlight.push({ transfer: part.transfer, takenAt: linkFreeAt });
+            }
+            while (inFlight.length > 0 && inFlight[0]!.takenAt <= now) {
+                const { transfer } = inFlight.shift()!;
+                schedule.partTaken(transfer, now);
+                doneAt = transfer === patient && transfer.remainingBytes === 0 ? now : doneAt;
+            }
+        }
+        // Three parts, each after a second at most.
+        expect(doneAt).to.be.at.most(4000);
+    });
 });
--- a/packages/gateway/src/lib/answer-writer.ts
+++ b/packages/gateway/src/lib/answer-writer.ts
@@ -27,6 +27,9 @@
 /** A shorter body is written at once, in bytes. */
 const minScheduledBytes = 16 * 1024;
 
+/** A caller that takes nothing of a large answer for this long is cut off, so that it does not hold memory for good, in milliseconds. */
+const maxUnreadMs = 15_000;
+
 /** Streams the rest of a body as fast as the caller reads it. A truncated body must not look complete, so `res` is destroyed then. */
 const streamRest = (res: ServerResponse, stream: IncomingMessage, isComplete: () => boolean): void => {
     stream.on("error", () => res.destroy());
@@ -68,11 +71,14 @@
     const writeInTurns = (res: ServerResponse, body: Buffer, priority: number): void => {
         const transfer: Transfer = { priority, remainingBytes: body.length };
         let offset = 0;
+        let unreadTimer: NodeJS.Timeout | undefined;
         writers.set(transfer, bytes => {
             const part = body.subarray(offset, offset + bytes);
             offset += bytes;
             const isLast = offset === body.length;
+            unreadTimer = setTimeout(() => res.destroy(), maxUnreadMs);
             res.write(part, () => {
+                clearTimeout(unreadTimer);
                 // Not before: a stopping HTTP server closes connections whose answers have been ended, written or not.
                 if (isLast) {
                     res.end();
@@ -81,8 +87,9 @@
                 writeParts();
             });
         });
-        schedule.add(transfer);
+        schedule.add(transfer, clock());
         res.once("close", () => {
+            clearTimeout(unreadTimer);
             writers.delete(transfer);
             schedule.remove(transfer);
             writeParts();
--- a/packages/gateway/src/lib/entry-gateway-contract.ts
+++ b/packages/gateway/src/lib/entry-gateway-contract.ts
@@ -20,6 +20,10 @@
     retryBound: RetryBound;
     /** Time within which a published change is in force, in milliseconds; an older view can't prove that a route is missing. */
     applyWithinMs: number;
+    /** Time within which a withdrawn key must stop, in milliseconds. */
+    revokeWithinMs: number;
+    /** Whether the host refuses requests under keys while its view is older than `revokeWithinMs`. */
+    refusesOldViews: boolean;
     /** Time limit of a graceful stop, in milliseconds. */
     stopWithinMs: number;
     /** Memory that the process may use, in bytes; without it, answers are not bounded by their sum. */
--- a/packages/gateway/src/lib/forward-attempt.ts
+++ b/packages/gateway/src/lib/forward-attempt.ts
@@ -93,7 +93,7 @@
         if (forwardResult === undefined && outcome !== AttemptOutcome.Cancelled) {
             peers.failed(peer.address, undefined, clock());
         }
-        else if (forwardResult?.isUnavailable === true) {
+        else if (forwardResult?.isUnavailable === true && forwardResult.isShortOfMemory !== true) {
             peers.failed(peer.address, req.service, clock());
         }
         log.log("requestForwarded", {
--- a/packages/gateway/src/lib/forward-protocol.ts
+++ b/packages/gateway/src/lib/forward-protocol.ts
@@ -36,6 +36,8 @@
     detail: string;
     /** Whether the host has sent nothing and can't send requests to the service now, so that others should be asked. */
     isUnavailable?: boolean;
+    /** Whether the host is unavailable only for requests with large answers, as it holds too many bytes. */
+    isShortOfMemory?: boolean;
     /** Whether the server has stated that it is leaving. */
     isLeaving?: boolean;
     /** Whether the server has ended under the request. */
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -81,19 +81,19 @@
         options.answerWriter.write(res, answer);
     };
 
-    /** Starts the attempt; returns why there is none if no server takes the request. */
-    const startAttempt = (forwarded: ForwardRequest): Attempt | string => {
+    /** Starts the attempt; returns the result without one if no server takes the request. */
+    const startAttempt = (forwarded: ForwardRequest): Attempt | ForwardResult => {
         const { service, repeatability, remainingMs, latencyObjectiveMs, routeName, method, target } = forwarded;
         const { requestKey } = forwarded;
         if (requestKey !== undefined && options.quarantine.admit(requestKey, clock()).admission === Admission.Quarantined) {
-            return "the request is quarantined";
+            return unavailable("the request is quarantined");
         }
         if (forwarded.hasLargeAnswer === true && options.answerBudget?.isShort() === true) {
-            return "the host holds too many bytes of answers";
+            return { ...unavailable("the host holds too many bytes of answers"), isShortOfMemory: true };
         }
         const choice = pool.choose(service, repeatability, new Set(forwarded.excluded), clock());
         if (choice === undefined) {
-            return path.isServiceLost(service) ? "no path to the servers" : "no server takes requests";
+            return unavailable(path.isServiceLost(service) ? "no path to the servers" : "no server takes requests");
         }
         return startServerAttempt(
             {
@@ -131,10 +131,10 @@
         }
         const attempt = startAttempt(forwarded);
         const { routeName: route, requestId } = forwarded;
-        if (typeof attempt === "string") {
+        if (!("result" in attempt)) {
             metrics.increment("cassiapick_forwarded_total", { route, outcome: "unavailable" });
-            log.log("forwardRefused", { requestId, route, reason: attempt });
-            end(res, unavailable(attempt));
+            log.log("forwardRefused", { requestId, route, reason: attempt.detail });
+            end(res, attempt);
             return;
         }
         res.on("close", () => attempt.cancel());
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -87,6 +87,8 @@
 
 /** Longer bodies are streamed to the caller, unless {@link HttpCallOptions.maxBufferedBytes} says otherwise. */
 const defaultMaxBufferedBytes = 256 * 1024;
+/** Bodies up to this length are read whole even if the host holds too much, so that small answers can still be repeated. */
+const alwaysBufferedBytes = 32 * 1024;
 const serverErrorStatus = 500;
 /** A body that is still being read this long after the timeout of its call is broken off, in milliseconds; it may have no end. */
 const maxStreamOverrunMs = 1000;
@@ -189,7 +191,7 @@
             chunks.push(chunk);
             bufferedBytes += chunk.length;
             budget?.add(chunk.length);
-            if (bufferedBytes > maxBufferedBytes || budget?.hasRoom(0) === false) {
+            if (bufferedBytes > maxBufferedBytes || (bufferedBytes > alwaysBufferedBytes && budget?.hasRoom(0) === false)) {
                 res.pause();
                 res.removeAllListeners("data");
                 finishWithAnswer(res);
--- a/packages/gateway/src/test/caller-server-pipeline_test.ts
+++ b/packages/gateway/src/test/caller-server-pipeline_test.ts
@@ -48,8 +48,11 @@
             const server = createCallerServer({
                 headerNames: testHeaderNames,
                 answerWriter,
-                route: () => ({ kind: "routed", route, configNumber: 1 }),
-                waitForNextConfig: () => Promise.resolve(),
+                configInForce: {
+                    route: () => ({ kind: "routed", route, configNumber: 1 }),
+                    waitForRoute: () => Promise.resolve({ kind: "routed", route, configNumber: 1 }),
+                    accessLoss: () => undefined,
+                },
                 run: () => ({
                     reply: new Promise<Reply>(resolve => replies.push(resolve)),
                     cancel: () => {
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -62,8 +62,11 @@
         server = createCallerServer({
             headerNames: testHeaderNames,
             answerWriter: createTestAnswerWriter(),
-            route: () => ({ kind: "routed", route, configNumber: 1 }),
-            waitForNextConfig: () => Promise.resolve(),
+            configInForce: {
+                route: () => ({ kind: "routed", route, configNumber: 1 }),
+                waitForRoute: () => Promise.resolve({ kind: "routed", route, configNumber: 1 }),
+                accessLoss: () => undefined,
+            },
             run: () => {
                 const reply = new Promise<Reply>(resolve => runs.push(resolve));
                 notifyRun();
