--- a/packages/core/src/lib/config-check/config-changes.ts
+++ b/packages/core/src/lib/config-check/config-changes.ts
@@ -26,7 +26,12 @@
 
 type Entry = Readonly<Record<string, unknown>>;
 
-const textOf = (value: unknown): string | undefined => value === undefined ? undefined : JSON.stringify(value);
+const textOf = (value: unknown): string | undefined => {
+    if (value === Infinity) {
+        return "unlimited";
+    }
+    return value === undefined ? undefined : JSON.stringify(value);
+};
 
 /** Keys are told apart by their digests but shown by their number, so that no report holds anything that stands for a key. */
 const describeKeys = (before: readonly string[], after: readonly string[]): FieldChange => {
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -4,7 +4,6 @@
     createHostRetryBudget,
     createPathMonitor,
     createPeerSelector,
-    createRouteIndex,
     createRouteLatencyTracker,
     createServerLimits,
     createServerPool,
@@ -14,68 +13,26 @@
     HostPhase,
     LinkMessageKind,
 } from "@cassiapick/core";
-import type { GatewayConfig, LinkMessage, PoolLocality, Random, RetryBound, RouteIndex, ServerRow } from "@cassiapick/core";
-import type { EventLog } from "@cassiapick/operations";
+import type { GatewayConfig, LinkMessage, ServerRow } from "@cassiapick/core";
+import { createAnswerMemory } from "./answer-memory.js";
+import { createAnswerWriter } from "./answer-writer.js";
 import { createCallerServer } from "./caller-server.js";
-import type { RoutingResult } from "./caller-server.js";
+import { createConfigInForce, tickMs, unknownConfigRetryMs } from "./config-in-force.js";
+import type { EntryGateway, EntryGatewayOptions } from "./entry-gateway-contract.js";
 import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
-import type { HeaderNames } from "./headers.js";
 import { connectTcp } from "./http-call.js";
-import type { Connect } from "./http-call.js";
 import { applyRemoteReports, applyZoneReports } from "./received-reports.js";
 import { runRequest } from "./request-runner.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 import type { ServerEndCheckOptions } from "./server-end-check.js";
 import { createStateLink } from "./state-link.js";
-import { stopSchedule } from "./stop-schedule.js";
+import { stopGracefully } from "./stop-gracefully.js";
 import { ConnectResult, tryConnect } from "./try-connect.js";
 
-/** Options of {@link startEntryGateway}. */
-export interface EntryGatewayOptions {
-    hostId: string;
-    /** Address that callers connect to. */
-    listenHost: string;
-    /** 0 lets the operating system choose. */
-    listenPort: number;
-    /** Port on which other entry hosts may ask this one to send requests to servers; 0 lets the operating system choose. */
-    forwardPort: number;
-    locality: PoolLocality;
-    /** State hosts to connect to first, as "host:port". */
-    seeds: readonly string[];
-    headerNames: HeaderNames;
-    retryBound: RetryBound;
-    /** Time within which a published change is in force, in milliseconds; an older view can't prove that a route is missing. */
-    applyWithinMs: number;
-    /** Time limit of a graceful stop, in milliseconds. */
-    stopWithinMs: number;
-    /** Opens connections to backend servers; by default, over TCP. */
-    connectServer?: Connect;
-    random: Random;
-    clock: () => number;
-    wallClock: () => number;
-    log: EventLog;
-}
-
-/** A running entry host. */
-export interface EntryGateway {
-    port: number;
-    /** Whether callers should connect to this host. */
-    isReady(): boolean;
-    setSeeds(seeds: readonly string[]): void;
-    renderMetrics(): string;
-    /** Finishes the requests that were read; resolves when the process may end. */
-    stop(): Promise<void>;
-}
-
 /** Without a majority of the state hosts, a starting host serves an unconfirmed configuration after this time. */
 const unconfirmedConfigFallbackMs = 3000;
-const stopPollMs = 50;
-/** `Retry-After` while the newest configuration is unknown, and the interval between updates of the phase, in milliseconds. */
-const unknownConfigRetryMs = 400;
-/** Requests wait for the first configuration until this long after the start, in milliseconds. */
-const firstConfigTimeoutMs = 1500;
 /** Interval at which servers whose path is lost may be tried, in milliseconds. */
 const pathTickMs = 100;
 /** Number of entry hosts that share the retry reserve, assumed until a state host sends the actual number. */
@@ -122,36 +79,13 @@
     const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
-    let config: GatewayConfig | undefined;
-    let routes: RouteIndex = createRouteIndex([]);
+    const configInForce = createConfigInForce({ ...options, viewAgeMs: () => link.viewAgeMs() });
     let serversRevision = 0;
     let phase = HostPhase.Leaving;
     let isStopping = false;
 
     const isViewFresh = (): boolean => link.viewAgeMs() <= options.applyWithinMs;
 
-    const route = (hostHeader: string, target: string): RoutingResult => {
-        if (config === undefined) {
-            // State hosts that were killed together with this host serve again within a second.
-            const waitMs = Math.max(0, monotonicStartMs + firstConfigTimeoutMs - clock());
-            return { kind: "unsure", retryAfterMs: unknownConfigRetryMs, waitMs };
-        }
-        const matchedRoute = routes.find(hostHeader, target);
-        if (matchedRoute !== undefined) {
-            return { kind: "routed", route: matchedRoute, configNumber: config.number };
-        }
-        return isViewFresh()
-            ? { kind: "unrouted", configNumber: config.number }
-            : { kind: "unsure", retryAfterMs: unknownConfigRetryMs, waitMs: 0 };
-    };
-
-    let configWaiters: (() => void)[] = [];
-    const waitForNextConfig = (waitMs: number): Promise<void> =>
-        new Promise(resolve => {
-            configWaiters.push(resolve);
-            setTimeout(resolve, waitMs);
-        });
-
     const requestQuarantine = createGatewayQuarantine({
         ...options,
         pool,
@@ -160,6 +94,9 @@
         metrics,
     });
 
+    const answerMemory = createAnswerMemory(options.memoryBytes, options.linkBytesPerMs);
+    const answerWriter = createAnswerWriter({ budget: answerMemory.budget, linkBytesPerMs: options.linkBytesPerMs, clock });
+
     const attemptDependencies: ServerAttemptDependencies = {
         ...requestQuarantine,
         pool,
@@ -173,37 +110,36 @@
         onServerFailed: () => link.sendReportsNow(),
         onLimitAnswer: answer => limits.recordAnswer(answer, clock()),
         viewAgeMs: () => link.viewAgeMs(),
+        answerBudget: answerMemory.budget,
     };
 
     const forwardServer = createForwardServer({
         ...attemptDependencies,
         metrics,
-        maxBodyBytes: () => config?.limits.maxBodyBytes ?? 0,
+        answerWriter,
+        maxBodyBytes: () => configInForce.current()?.limits.maxBodyBytes ?? 0,
     });
 
     const callerServer = createCallerServer({
         headerNames: options.headerNames,
-        route,
-        waitForNextConfig,
-        run: req => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+        configInForce,
+        run: req =>
+            answerMemory.refusal(req) ?? runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+        answerWriter,
         clock,
         log,
         metrics,
     });
 
     const applyConfig = (newConfig: GatewayConfig | undefined): void => {
-        if (newConfig === undefined || (config !== undefined && newConfig.number <= config.number)) {
+        if (newConfig === undefined || !configInForce.apply(newConfig)) {
             return;
         }
-        config = newConfig;
-        routes = createRouteIndex(newConfig.routes);
         callerServer.setLimits(newConfig.limits);
-        const waiters = configWaiters;
-        configWaiters = [];
-        waiters.forEach(resolve => resolve());
         log.log("configurationInForce", {
             number: newConfig.number,
             routes: newConfig.routes.length,
+            workspaces: newConfig.workspaces?.length,
             viewAgeMs: Math.round(link.viewAgeMs()),
         });
     };
@@ -221,9 +157,11 @@
     const handlers: Handlers = {
         [LinkMessageKind.Config]: message => applyConfig(message.config),
         [LinkMessageKind.ConfigDelta]: ({ delta }) => {
-            const newConfig = applyDelta(config, delta);
+            const heldConfig = configInForce.current();
+            const newConfig = applyDelta(heldConfig, delta);
             if (newConfig === undefined) {
-                log.log("updateUnusable", { number: delta.number, baseNumber: delta.baseNumber, heldNumber: config?.number });
+                const { number, baseNumber } = delta;
+                log.log("updateUnusable", { number, baseNumber, heldNumber: heldConfig?.number });
             }
             applyConfig(newConfig);
         },
@@ -262,7 +200,7 @@
             region: locality.regions[locality.availabilityZone] ?? "",
             startedAt,
             phase,
-            configNumber: config?.number ?? 0,
+            configNumber: configInForce.current()?.number ?? 0,
             serversRevision,
             takesLimits: true,
             takesEvidence: true,
@@ -278,7 +216,7 @@
     });
 
     const isReady = (): boolean =>
-        !isStopping && config !== undefined && pool.size() > 0
+        !isStopping && configInForce.current() !== undefined && configInForce.mayServeKeys() && pool.size() > 0
         && (phase !== HostPhase.Leaving || isViewFresh() || clock() - monotonicStartMs > unconfirmedConfigFallbackMs);
 
     const currentPhase = (): HostPhase => {
@@ -296,31 +234,33 @@
             log.log("hostChanged", { host: options.hostId, change: next });
         }
     };
-    const timers = [setInterval(updatePhase, unknownConfigRetryMs), setInterval(() => path.tick(), pathTickMs)];
+    const timers = [
+        setInterval(updatePhase, unknownConfigRetryMs),
+        setInterval(() => configInForce.tick(), tickMs),
+        setInterval(() => path.tick(), pathTickMs),
+    ];
 
     const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
 
-    const stop = async (): Promise<void> => {
-        const stopStartedAt = clock();
-        isStopping = true;
-        updatePhase();
-        callerServer.startDraining();
-        forwardServer.startDraining();
-        const elapsed = (): number => clock() - stopStartedAt;
-        const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, stopPollMs));
-        const { acceptUntilMs, finishUntilMs } = stopSchedule(options.stopWithinMs);
-        while (elapsed() < acceptUntilMs) {
-            await waitForNextPoll();
-        }
-        callerServer.stopAccepting();
-        while (openRequestCount() > 0 && elapsed() < finishUntilMs) {
-            await waitForNextPoll();
-        }
-        timers.forEach(timer => clearInterval(timer));
-        link.close();
-        callerServer.close();
-        forwardServer.close();
-    };
+    const stop = (): Promise<void> =>
+        stopGracefully({
+            stopWithinMs: options.stopWithinMs,
+            clock,
+            openRequestCount,
+            startDraining: () => {
+                isStopping = true;
+                updatePhase();
+                callerServer.startDraining();
+                forwardServer.startDraining();
+            },
+            stopAccepting: () => callerServer.stopAccepting(),
+            close: () => {
+                timers.forEach(timer => clearInterval(timer));
+                link.close();
+                callerServer.close();
+                forwardServer.close();
+            },
+        });
 
     return {
         port,
@@ -329,11 +269,13 @@
         renderMetrics: () =>
             metrics.render({
                 cassiapick_view_age_ms: Number.isFinite(link.viewAgeMs()) ? Math.round(link.viewAgeMs()) : -1,
-                cassiapick_configuration_number: config?.number ?? 0,
+                cassiapick_configuration_number: configInForce.current()?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
                 ...requestQuarantine.gauges(),
+                cassiapick_answer_bytes_held: answerMemory.budget.held(),
+                cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
