--- a/packages/gateway/src/lib/config-in-force.ts
+++ b/packages/gateway/src/lib/config-in-force.ts
@@ -69,7 +69,7 @@
 /** A process without a turn for this long was paused, in milliseconds. */
 const pauseMs = 1500;
 /** Time for a host that was paused to be sent what it has missed, in milliseconds. */
-const catchUpMs = 1000;
+const catchUpMs = 2000;
 const pollMs = 25;
 /** Most requests that wait at the same time, so that unknown keys can't fill the memory. */
 const maxWaiting = 500;
