--- a/packages/gateway/src/test/unconfirmed-keys_test.ts
+++ b/packages/gateway/src/test/unconfirmed-keys_test.ts
@@ -8,7 +8,7 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { startEntryGateway } from "../lib/entry-gateway.js";
-import type { EntryGateway } from "../lib/entry-gateway.js";
+import type { EntryGateway } from "../lib/entry-gateway-contract.js";
 import { testHeaderNames, testServer } from "./test-gateway.js";
 
 const loopback = "127.0.0.1";
