--- a/packages/core/src/lib/gateway/pool-member.ts
+++ b/packages/core/src/lib/gateway/pool-member.ts
@@ -1,9 +1,12 @@
 /** What an entry host knows about one backend server of its pool. */
 import type { FleetServer } from "../fleet/facts.js";
+import type { Random } from "../random.js";
 import { failureProbabilityAt, initialFailureEstimate, withEvidence } from "./failure-estimate.js";
 import type { FailureEstimate, FailureEstimateCfg } from "./failure-estimate.js";
 import { createMemberWaits } from "./member-waits.js";
 import type { MemberWaits } from "./member-waits.js";
+import { createRecoveryProbes } from "./recovery-probes.js";
+import type { RecoveryProbes } from "./recovery-probes.js";
 
 /** What an entry host knows about one server. Times are in milliseconds of the host's clock. */
 export interface PoolMember {
@@ -16,6 +19,7 @@
     /** When a request was last known to be in flight on the server, and when one was last known to fail. */
     lastUsedAt: number;
     lastFailureAt: number;
+    probes: RecoveryProbes;
     ownInFlight: number;
     /** Requests of other hosts in flight, by host key. */
     inFlightByHost: Map<string, number>;
@@ -36,13 +40,14 @@
 }
 
 /** Creates a member without observations. */
-export const createPoolMember = (record: FleetServer, cfg: FailureEstimateCfg): PoolMember => ({
+export const createPoolMember = (record: FleetServer, cfg: FailureEstimateCfg, random: Random): PoolMember => ({
     record,
     failureEstimate: initialFailureEstimate(0, cfg),
     waits: createMemberWaits(),
     lastObservationAt: undefined,
     lastUsedAt: -Infinity,
     lastFailureAt: -Infinity,
+    probes: createRecoveryProbes(random),
     ownInFlight: 0,
     inFlightByHost: new Map(),
     otherHostsInFlight: 0,
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -20,10 +20,6 @@
 
 /** A server counts as newly warmed up for this long after its slow start. */
 const newServerMs = 6000;
-/** A server is idle after this long without a request. */
-const idleServerMs = 1600;
-/** Time after its last failure that a server gets to recover before it is probed. */
-const probeDelayMs = 2500;
 
 /** Creates the pool of one entry host. */
 export const createServerPool = (cfg: ServerPoolCfg): ServerPool => {
@@ -40,7 +36,7 @@
     };
 
     const add = (record: FleetServer): void => {
-        const member = createPoolMember(record, weights.failureEstimate);
+        const member = createPoolMember(record, weights.failureEstimate, cfg.random);
         members.set(record.number, member);
         numberByServerId.set(record.serverId, record.number);
         const serviceMembers = membersByService.get(record.service) ?? new Set();
@@ -79,15 +75,15 @@
      * worse than that of servers in use, so a service's requests would concentrate on few servers. Requests that may be
      * repeated always probe; others only while the service is degraded.
      */
-    const isProbeDue = (member: PoolMember, now: number): boolean =>
+    const isProbeDue = (member: PoolMember, isDegraded: boolean, now: number): boolean =>
         member.record.availabilityZone === availabilityZone && !member.record.silent
-        && now - member.lastUsedAt > idleServerMs && now - member.lastFailureAt > probeDelayMs;
+        && member.probes.isDue(member, isDegraded, now);
 
     /** Whether a server has just warmed up and needs a first request, without which no host would observe that it is healthy. */
     const isNewlyWarm = (member: PoolMember): boolean => {
         const warmForMs = cfg.wallClock() - member.record.warmAt;
         return member.lastUsedAt === -Infinity && member.record.availabilityZone === availabilityZone && !member.record.silent
-            && warmForMs >= 0 && warmForMs < newServerMs;
+            && member.probes.isFirstRequestDue(warmForMs) && warmForMs < newServerMs;
     };
 
     const isWithinLimit = (member: PoolMember, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
@@ -114,14 +110,15 @@
         now: number,
     ): ServerChoice | undefined => {
         const utilization = utilizations.update(service, membersByService.get(service) ?? [], now);
-        const mayProbe = repeatability === Repeatability.Repeatable || degradation.isDegraded(service, now);
+        const isDegraded = degradation.isDegraded(service, now);
+        const mayProbe = repeatability === Repeatability.Repeatable || isDegraded;
         let best: PoolMember | undefined;
         let bestCost = Infinity;
         for (const member of membersByService.get(service) ?? []) {
             if (!isUsable(member, excluded, now)) {
                 continue;
             }
-            const isProbe = isNewlyWarm(member) || (mayProbe && isProbeDue(member, now));
+            const isProbe = isNewlyWarm(member) || (mayProbe && isProbeDue(member, isDegraded, now));
             if (!isProbe && isRefusalBetter(member, repeatability, now)) {
                 continue;
             }
@@ -149,14 +146,23 @@
         return freeSlots > 0;
     };
 
+    const markUsed = (member: PoolMember, now: number): void => {
+        member.lastUsedAt = now;
+        member.probes.used();
+    };
+
     const recordObservation = (member: PoolMember, observation: ServerObservation, now: number): void => {
         member.failureEstimate = updateFailureEstimate(member.failureEstimate, observation, now, weights.failureEstimate);
         member.lastObservationAt = now;
         if (observation === ServerObservation.Failure) {
             member.lastFailureAt = now;
+            member.probes.failed(now);
+        }
+        if (observation === ServerObservation.Success) {
+            member.probes.succeeded();
         }
         if (observation !== ServerObservation.Declined) {
-            member.lastUsedAt = now;
+            markUsed(member, now);
         }
     };
 
@@ -176,6 +182,7 @@
         member.lastObservationAt = now;
         if (hangs > 0) {
             member.lastFailureAt = now;
+            member.probes.failed(now);
         }
     };
 
@@ -209,7 +216,7 @@
                 if (survival !== undefined) {
                     member.waits.started(now, survival);
                 }
-                member.lastUsedAt = now;
+                markUsed(member, now);
                 member.isReportDue = true;
                 cfg.limits?.requestStarted(number, now);
             }
@@ -262,7 +269,7 @@
                 return;
             }
             if (report.inFlight > 0) {
-                member.lastUsedAt = now;
+                markUsed(member, now);
             }
             setHostLoad(member, hostKey, report.inFlight);
             member.waits.setHostLevel(hostKey, report.waitLevel ?? 0);
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -151,7 +151,8 @@
             if (sentReports.length === 0) {
                 continue;
             }
-            timeline.after(2 * delayBetween(host.zone, otherHost.zone), () => {
+            const relayDelayMs = site.reportHandlingMs === undefined ? 0 : site.reportHandlingMs * (1 + random.next());
+            timeline.after(2 * delayBetween(host.zone, otherHost.zone) + relayDelayMs, () => {
                 for (const serverReport of sentReports) {
                     if (isSameZone) {
                         otherHost.pool.applyReport(host.reportKey, serverReport, timeline.now());
--- a/packages/measure/src/lib/gateway-sites.ts
+++ b/packages/measure/src/lib/gateway-sites.ts
@@ -44,6 +44,8 @@
     /** Error rate of a healthy server. */
     healthyErrorRate: number;
     retryReserve: number;
+    /** Time that a report waits for the processors of busy hosts on its way, besides the links; 0 by default. */
+    reportHandlingMs?: number;
 }
 
 const { AtMostOnce, Repeatable } = Repeatability;
@@ -156,6 +158,43 @@
     retryReserve: 60,
 });
 
+/** Till requests in six zones: one service per kind, two slots a server, and a request that runs once as the largest part. */
+const tills: RequestClass[] = [
+    {
+        name: "price-lookup",
+        service: "prices",
+        repeatability: Repeatable,
+        requestsPerSecond: 162,
+        meanServiceMs: 180,
+        serviceTimeVariation: 0.8,
+        objectiveMs: 800,
+        timeoutMs: 1500,
+        maxServers: 2,
+    },
+    {
+        name: "payment-record",
+        service: "payments",
+        repeatability: AtMostOnce,
+        requestsPerSecond: 471,
+        meanServiceMs: 140,
+        serviceTimeVariation: 0.5,
+        objectiveMs: 800,
+        timeoutMs: 1200,
+        maxServers: 2,
+    },
+    {
+        name: "loyalty-balance",
+        service: "points",
+        repeatability: Repeatable,
+        requestsPerSecond: 130,
+        meanServiceMs: 340,
+        serviceTimeVariation: 0.5,
+        objectiveMs: 1200,
+        timeoutMs: 2000,
+        maxServers: 2,
+    },
+];
+
 /** Simulated sites by name. */
 export const simulatedSites: Readonly<Record<string, SimulatedSite>> = {
     ticketing: {
@@ -178,6 +217,17 @@
         healthyErrorRate: 0.012,
         retryReserve: 188,
     },
+    tills: {
+        regions: ticketingRegions,
+        entryHostsPerZone: 15,
+        serversPerZone: { prices: 7, payments: 16, points: 11 },
+        classes: tills,
+        slotsPerServer: 2,
+        faultEpisodes: { timeFraction: 0.3, meanDurationMs: 13_000, failureRate: 0.85, kinds: [FaultKind.Reset] },
+        healthyErrorRate: 0.012,
+        retryReserve: 160,
+        reportHandlingMs: 40,
+    },
     buylist: buylistWith(FaultKind.Hang),
     "buylist-reset": buylistWith(FaultKind.Reset),
     "buylist-error": buylistWith(FaultKind.Error),
