--- a/packages/core/src/lib/gateway/recovery-probes.ts
+++ b/packages/core/src/lib/gateway/recovery-probes.ts
@@ -45,8 +45,8 @@
     firstDelayMs: 2200,
     backoff: 1.5,
     longestDelayMs: 7000,
-    longestDegradedDelayMs: 2600,
-    spreadMs: 1200,
+    longestDegradedDelayMs: 2100,
+    spreadMs: 900,
 };
 
 /** Failures that are closer than this belong to one probe, or to requests that were in flight together, in milliseconds. */
