--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -5,6 +5,7 @@
  */
 import {
     concernsOtherZones,
+    createHostSilence,
     createLivenessMonitor,
     entryAddressesForCaller,
     fromLimitReportRow,
@@ -17,7 +18,7 @@
     StateRequestKind,
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
-import type { EntryHello, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, StateReply } from "@cassiapick/core";
+import type { EntryHello, FleetHost, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, StateReply } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, encodeFrame, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -69,6 +70,7 @@
     const peerIds = new Map<Link, string>();
     const scheduleAck = createAckScheduler();
     const lastReceivedAt = new Map<Link, number>();
+    const hostSilence = createHostSilence();
     let latestConfig: GatewayConfig | undefined;
     let isStopping = false;
 
@@ -251,6 +253,10 @@
             // The key of a handler is the kind of its messages; the compiler can't infer this from the lookup.
             (handlers[message.k] as ((link: Link, message: LinkMessage) => void) | undefined)?.(link, message);
             lastReceivedAt.set(link, clock());
+            const sender = entryLinks.hostOf(link);
+            if (sender !== undefined) {
+                hostSilence.heard(sender.hostId, clock());
+            }
         },
         onClose: (link, reason) => {
             peerIds.delete(link);
@@ -258,6 +264,7 @@
             const detachedHost = entryLinks.removeHost(link);
             if (detachedHost !== undefined) {
                 livenessMonitor.hostDetached(detachedHost.hostId, clock());
+                hostSilence.lost(detachedHost.hostId);
                 log.log("hostChanged", { host: detachedHost.hostId, change: "detached", reason });
             }
         },
@@ -329,7 +336,9 @@
         },
         entryAddresses: (availabilityZone, region) => {
             const fleet = driver.fleet();
-            return fleet === undefined ? [] : entryAddressesForCaller(fleet.hosts(), availabilityZone, region);
+            // Other state hosts know better about the hosts that are attached to them.
+            const isSilent = (host: FleetHost): boolean => host.keeper === hostId && hostSilence.isSilent(host.hostId, clock());
+            return fleet === undefined ? [] : entryAddressesForCaller(fleet.hosts(), availabilityZone, region, isSilent);
         },
         // Seeds are added to the state hosts that this host contacts to join the fleet; none is removed.
         setSeeds: seeds => driver.addContacts(seeds),
--- a/packages/core/src/lib/gateway/entry-addresses.ts
+++ b/packages/core/src/lib/gateway/entry-addresses.ts
@@ -11,12 +11,19 @@
 
 /**
  * Returns the addresses of the nearest ready entry hosts for a caller in `availabilityZone`. Hosts without a path to the servers
- * are named only where there are too few others: they can still send requests through another host.
+ * are named only where there are too few others: they can still send requests through another host. Silent hosts come last, as
+ * they are probably gone.
  */
-export const entryAddressesForCaller = (hosts: Iterable<FleetHost>, availabilityZone: string, region: string): string[] => {
+export const entryAddressesForCaller = (
+    hosts: Iterable<FleetHost>,
+    availabilityZone: string,
+    region: string,
+    isSilent: (host: FleetHost) => boolean = () => false,
+): string[] => {
     const entryHosts = [...hosts].filter(host => host.role === HostRole.Entry);
-    const hostsByDistance = (phase: HostPhase): FleetHost[][] => {
-        const inPhase = entryHosts.filter(host => host.state === phase);
+    const silentHosts = new Set(entryHosts.filter(isSilent));
+    const hostsByDistance = (phase: HostPhase, areSilent = false): FleetHost[][] => {
+        const inPhase = entryHosts.filter(host => host.state === phase && silentHosts.has(host) === areSilent);
         return [
             inPhase.filter(host => host.availabilityZone === availabilityZone),
             inPhase.filter(host => host.region === region && host.availabilityZone !== availabilityZone),
@@ -25,10 +32,11 @@
     };
     const ready = hostsByDistance(HostPhase.Ready);
     const withoutPath = hostsByDistance(HostPhase.NoServerPath);
-    const localHostCount = ready[0]!.length + withoutPath[0]!.length;
+    const silent = hostsByDistance(HostPhase.Ready, true);
+    const localHostCount = ready[0]!.length + withoutPath[0]!.length + silent[0]!.length;
     const minAddresses = Math.max(minEntryAddresses, minReadyFraction * localHostCount);
     const addresses: string[] = [];
-    for (const group of [...ready, ...withoutPath]) {
+    for (const group of [...ready, ...withoutPath, ...silent]) {
         if (addresses.length < minAddresses) {
             addresses.push(...group.map(host => host.address));
         }
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from "./fleet-messages.js";
 export * from "./gateway-config.js";
 export * from "./host-retry-budget.js";
+export * from "./host-silence.js";
 export * from "./limit-shares.js";
 export * from "./liveness-monitor.js";
 export * from "./nearest-state-host.js";
--- a/packages/core/src/test/entry-addresses_test.ts
+++ b/packages/core/src/test/entry-addresses_test.ts
@@ -24,6 +24,8 @@
     local: HostPhase[];
     regional?: HostPhase[];
     remote?: HostPhase[];
+    /** Hosts that have stopped sending. */
+    silent?: string[];
     expected: string[];
 }
 
@@ -57,14 +59,29 @@
         remote: [],
         expected: ["a1-2", "a1-1", "a1-3", "a1-4"],
     },
+    { name: "no silent host", local: [Ready, Ready, Ready], silent: ["a1-2"], expected: ["a1-1", "a1-3"] },
+    {
+        name: "hosts of its region too if most of its zone are silent",
+        local: [Ready, Ready, Ready, Ready, Ready],
+        silent: ["a1-1", "a1-2", "a1-3"],
+        expected: ["a1-4", "a1-5", "a2-1", "a2-2"],
+    },
+    {
+        name: "silent hosts if there are no others",
+        local: [Ready, Ready],
+        regional: [],
+        remote: [],
+        silent: ["a1-1", "a1-2"],
+        expected: ["a1-1", "a1-2"],
+    },
 ];
 
 // Guards against callers that are sent to hosts which can't connect to any backend server, or to no host at all.
 describe("the directory names to a caller", () => {
-    for (const { name, local, regional = [Ready, Ready], remote = [Ready, Ready], expected } of cases) {
+    for (const { name, local, regional = [Ready, Ready], remote = [Ready, Ready], silent = [], expected } of cases) {
         it(name, () => {
             const hosts = [...hostsIn("a1", "a", local), ...hostsIn("a2", "a", regional), ...hostsIn("b1", "b", remote)];
-            expect(entryAddressesForCaller(hosts, "a1", "a")).to.deep.equal(expected);
+            expect(entryAddressesForCaller(hosts, "a1", "a", host => silent.includes(host.hostId))).to.deep.equal(expected);
         });
     }
 });
