--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -5,7 +5,6 @@
  */
 import {
     concernsOtherZones,
-    createHostSilence,
     createLivenessMonitor,
     entryAddressesForCaller,
     fromLimitReportRow,
@@ -18,7 +17,15 @@
     StateRequestKind,
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
-import type { EntryHello, FleetHost, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, StateReply } from "@cassiapick/core";
+import type {
+    EntryHello,
+    FleetHost,
+    FleetMachine,
+    GatewayConfig,
+    HostAnnouncement,
+    LinkMessage,
+    StateReply,
+} from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, encodeFrame, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -29,6 +36,7 @@
 import { createFactBatcher } from "./fact-batcher.js";
 import { createEntryPeersCache, stateContacts } from "./fleet-queries.js";
 import { createLimitRecorder } from "./limit-recorder.js";
+import { createLinkWatch } from "./link-watch.js";
 import { createPeerLinks } from "./peer-links.js";
 import { createQuarantineRecorder } from "./quarantine-recorder.js";
 
@@ -69,8 +77,7 @@
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
     const scheduleAck = createAckScheduler();
-    const lastReceivedAt = new Map<Link, number>();
-    const hostSilence = createHostSilence();
+    const linkWatch = createLinkWatch();
     let latestConfig: GatewayConfig | undefined;
     let isStopping = false;
 
@@ -252,30 +259,18 @@
             }
             // The key of a handler is the kind of its messages; the compiler can't infer this from the lookup.
             (handlers[message.k] as ((link: Link, message: LinkMessage) => void) | undefined)?.(link, message);
-            lastReceivedAt.set(link, clock());
-            const sender = entryLinks.hostOf(link);
-            if (sender !== undefined) {
-                hostSilence.heard(sender.hostId, clock());
-            }
+            linkWatch.received(link, entryLinks.hostOf(link)?.hostId, clock());
         },
         onClose: (link, reason) => {
             peerIds.delete(link);
-            lastReceivedAt.delete(link);
             const detachedHost = entryLinks.removeHost(link);
+            linkWatch.closed(link, detachedHost?.hostId);
             if (detachedHost !== undefined) {
                 livenessMonitor.hostDetached(detachedHost.hostId, clock());
-                hostSilence.lost(detachedHost.hostId);
                 log.log("hostChanged", { host: detachedHost.hostId, change: "detached", reason });
             }
         },
     });
-    const closeSilentEntryLinks = (): void => {
-        for (const [link, receivedAt] of lastReceivedAt) {
-            if (!peerIds.has(link) && clock() - receivedAt > entryHostTimeoutMs) {
-                link.close();
-            }
-        }
-    };
 
     const timers = [
         setInterval(relayReports, relayIntervalMs),
@@ -287,7 +282,7 @@
         setInterval(() => {
             sendUpdates();
             peerLinks.keepOpen(otherVoters());
-            closeSilentEntryLinks();
+            linkWatch.closeSilentLinks(link => !peerIds.has(link), entryHostTimeoutMs, clock());
             void recordMissingFacts();
         }, maintenanceIntervalMs),
     ];
@@ -337,7 +332,7 @@
         entryAddresses: (availabilityZone, region) => {
             const fleet = driver.fleet();
             // Other state hosts know better about the hosts that are attached to them.
-            const isSilent = (host: FleetHost): boolean => host.keeper === hostId && hostSilence.isSilent(host.hostId, clock());
+            const isSilent = (host: FleetHost): boolean => host.keeper === hostId && linkWatch.isSilent(host.hostId, clock());
             return fleet === undefined ? [] : entryAddressesForCaller(fleet.hosts(), availabilityZone, region, isSilent);
         },
         // Seeds are added to the state hosts that this host contacts to join the fleet; none is removed.
--- a/packages/core/src/lib/gateway/selection-weights.ts
+++ b/packages/core/src/lib/gateway/selection-weights.ts
@@ -27,6 +27,8 @@
     silent: number;
     /** Upper bound of a random cost that spreads the selections of many hosts over equal servers. */
     jitter: number;
+    /** Servers of one availability zone whose costs differ by less are near-equal, and one of two random ones is selected. */
+    nearEqual: number;
     /**
      * A request that must not be repeated is not sent to a limited server whose failure probability is higher: the host has few
      * other shares, but the caller can return to a host that has a share of a healthy server.
@@ -51,6 +53,7 @@
     slowStart: 0.12,
     silent: 0.3,
     jitter: 0.02,
+    nearEqual: 0.2,
     maxLimitedFailureProbability: 0.9,
     maxRequestsBeyondSlots: 9,
     failureEstimate: defaultFailureEstimateCfg,
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -9,6 +9,8 @@
 import type { FleetServer } from "../fleet/facts.js";
 import { addFailureEvidence, ServerObservation, updateFailureEstimate } from "./failure-estimate.js";
 import { Repeatability } from "./gateway-config.js";
+import { chooseNearEqual } from "./near-equal-choice.js";
+import type { Candidate } from "./near-equal-choice.js";
 import { createPoolMember, failureProbabilityOf, setHostLoad } from "./pool-member.js";
 import type { PoolMember } from "./pool-member.js";
 import { createSelectionCost } from "./selection-cost.js";
@@ -112,8 +114,7 @@
         const utilization = utilizations.update(service, membersByService.get(service) ?? [], now);
         const isDegraded = degradation.isDegraded(service, now);
         const mayProbe = repeatability === Repeatability.Repeatable || isDegraded;
-        let best: PoolMember | undefined;
-        let bestCost = Infinity;
+        const candidates: Candidate<PoolMember>[] = [];
         for (const member of membersByService.get(service) ?? []) {
             if (!isUsable(member, excluded, now)) {
                 continue;
@@ -123,11 +124,9 @@
                 continue;
             }
             const cost = expectedCost(member, repeatability, utilization, now) - (isProbe ? weights.probe : 0);
-            if (cost < bestCost) {
-                best = member;
-                bestCost = cost;
-            }
+            candidates.push({ value: member, group: member.record.availabilityZone, cost });
         }
+        const best = chooseNearEqual(candidates, weights.nearEqual, cfg.random);
         return best === undefined ? undefined : {
             server: best.record,
             failureProbability: failureProbabilityOf(best, now, weights.failureEstimate),
--- a/packages/core/src/test/recovery-probes_test.ts
+++ b/packages/core/src/test/recovery-probes_test.ts
@@ -45,7 +45,10 @@
         }
         hosts.forEach(({ probes, history }, by) => {
             const hasRequest = random.next() < herd.requestsPerS * stepMs / 1000;
-            if (hasRequest && !pending.some(probe => probe.by === by && probe.knownAt > now) && probes.isDue(history, herd.isDegraded, now)) {
+            if (
+                hasRequest && !pending.some(probe => probe.by === by && probe.knownAt > now)
+                && probes.isDue(history, herd.isDegraded, now)
+            ) {
                 lostAt.push(now);
                 pending.push({ at: now, knownAt: now + herd.reportMs, by });
             }
@@ -64,10 +67,16 @@
 describe("probes of idle servers", () => {
     const herds: { name: string; herd: Herd; }[] = [
         { name: "15 hosts", herd: { hosts: 15, requestsPerS: 3.6, reportMs: 50, isDegraded: true, durationMs: 9000 } },
-        { name: "15 hosts, late reports", herd: { hosts: 15, requestsPerS: 3.6, reportMs: 100, isDegraded: true, durationMs: 9000 } },
+        {
+            name: "15 hosts, late reports",
+            herd: { hosts: 15, requestsPerS: 3.6, reportMs: 100, isDegraded: true, durationMs: 9000 },
+        },
         { name: "30 hosts", herd: { hosts: 30, requestsPerS: 3.6, reportMs: 50, isDegraded: true, durationMs: 9000 } },
         { name: "6 hosts", herd: { hosts: 6, requestsPerS: 1.5, reportMs: 50, isDegraded: true, durationMs: 9000 } },
-        { name: "15 hosts, calm service", herd: { hosts: 15, requestsPerS: 3.6, reportMs: 50, isDegraded: false, durationMs: 9000 } },
+        {
+            name: "15 hosts, calm service",
+            herd: { hosts: 15, requestsPerS: 3.6, reportMs: 50, isDegraded: false, durationMs: 9000 },
+        },
     ];
     for (const { name, herd } of herds) {
         it(`lose at most one request beyond the first of a round, on average, and fewer than with equal delays: ${name}`, () => {
