Count what hosts tell each other, by kind of message and distance

Change: each host counts the messages that it sends on links and their bytes with framing, by kind and by the place of the other end (`cassiapick_link_bytes_total`, `cassiapick_link_messages_total`; bounded by kinds times distances).

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -5,12 +5,14 @@
  */
 import {
     concernsOtherZones,
+    createLinkTraffic,
     createLivenessMonitor,
     entryAddressesForCaller,
     fromLimitReportRow,
     HostPhase,
     HostRole,
     isLinkMessage,
+    linkDistance,
     LinkMessageKind,
     nearestStateHost,
     StateReplyKind,
@@ -19,7 +21,7 @@
 } from "@cassiapick/core";
 import type { EntryHello, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, StateReply } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
-import { createLinkServer, encodeFrame, splitAddress } from "@cassiapick/wire";
+import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { createAckScheduler } from "./ack-scheduler.js";
 import { ControlOutcome } from "./control-contract.js";
@@ -63,7 +65,11 @@
     const { hostId, clock, wallClock, log } = options;
     const startedAt = wallClock();
     const { host, port } = splitAddress(hostId);
-    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock });
+    const traffic = createLinkTraffic();
+    /** Counts a message to a state host, whose place the fleet's view has. */
+    const countForPeer = (to: string | undefined, message: unknown, bytes: number): void =>
+        traffic.sent(message, bytes, linkDistance(options, to === undefined ? undefined : driver.fleet()?.host(to)));
+    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock, onSent: countForPeer });
     const entryLinks = createEntryLinks(options.availabilityZone, wallClock);
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
@@ -186,10 +192,7 @@
         [LinkMessageKind.RequestEvidence]: (link, { r }) => {
             entryLinks.relayEvidence(r, link);
             if (!peerIds.has(link)) {
-                peerLinks.relayEvidence(
-                    otherVoters(),
-                    encodeFrame({ k: LinkMessageKind.RequestEvidence, r } satisfies LinkMessage),
-                );
+                peerLinks.relayEvidence(otherVoters(), { k: LinkMessageKind.RequestEvidence, r });
             }
         },
         [LinkMessageKind.Quarantined]: (_link, { q }) => {
@@ -233,10 +236,7 @@
     const relayReports = (): void => {
         const outcomes = entryLinks.relayReports();
         if (outcomes.length > 0) {
-            peerLinks.relay(
-                otherVoters(),
-                encodeFrame({ k: LinkMessageKind.RemoteOutcomes, r: outcomes } satisfies LinkMessage),
-            );
+            peerLinks.relay(otherVoters(), { k: LinkMessageKind.RemoteOutcomes, r: outcomes });
         }
     };
 
@@ -252,6 +252,15 @@
             (handlers[message.k] as ((link: Link, message: LinkMessage) => void) | undefined)?.(link, message);
             lastReceivedAt.set(link, clock());
         },
+        onSent: (link, message, bytes) => {
+            const entryHost = entryLinks.hostOf(link);
+            if (entryHost === undefined) {
+                countForPeer(peerIds.get(link), message, bytes);
+            }
+            else {
+                traffic.sent(message, bytes, linkDistance(options, entryHost));
+            }
+        },
         onClose: (link, reason) => {
             peerIds.delete(link);
             lastReceivedAt.delete(link);
@@ -339,6 +348,7 @@
             cassiapick_view_age_ms: Number.isFinite(driver.viewAgeMs()) ? driver.viewAgeMs() : -1,
             cassiapick_voters: driver.voters().length,
             cassiapick_configuration_number: latestConfig?.number ?? 0,
+            ...traffic.gauges(),
         }),
         stop: async () => {
             isStopping = true;
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -200,7 +200,7 @@
     const broadcast = (message: LinkMessage): void => {
         const frame = encodeCompactFrame(message);
         for (const link of attachedHosts.keys()) {
-            link.sendFrame(frame);
+            link.sendFrame(frame, message);
         }
     };
 
@@ -269,10 +269,12 @@
         },
         sendUpdates,
         sendViewAge: ageMs => {
-            const viewAge = encodeCompactFrame(viewAgeMessage(ageMs));
-            const heartbeat = encodeCompactFrame({ k: LinkMessageKind.Heartbeat } satisfies LinkMessage);
+            const viewAge = viewAgeMessage(ageMs);
+            const viewAgeFrame = encodeCompactFrame(viewAge);
+            const heartbeat: LinkMessage = { k: LinkMessageKind.Heartbeat };
+            const heartbeatFrame = encodeCompactFrame(heartbeat);
             for (const [link, { isUpToDate }] of attachedHosts) {
-                link.sendFrame(isUpToDate ? viewAge : heartbeat);
+                link.sendFrame(isUpToDate ? viewAgeFrame : heartbeatFrame, isUpToDate ? viewAge : heartbeat);
             }
         },
         addReports: (link, rows) => {
@@ -280,10 +282,11 @@
         },
         relayReports,
         relayEvidence: (rows, from) => {
-            const frame = encodeCompactFrame({ k: LinkMessageKind.RequestEvidence, r: [...rows] } satisfies LinkMessage);
+            const message: LinkMessage = { k: LinkMessageKind.RequestEvidence, r: [...rows] };
+            const frame = encodeCompactFrame(message);
             for (const [link, { takesEvidence }] of attachedHosts) {
                 if (takesEvidence && link !== from) {
-                    link.sendFrame(frame);
+                    link.sendFrame(frame, message);
                 }
             }
         },
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,7 +1,7 @@
 /** Outgoing links for consensus messages between state hosts; a link is opened on demand. */
 import { isLinkMessage, LinkMessageKind } from "@cassiapick/core";
-import type { PeerMessage } from "@cassiapick/core";
-import { openLink, splitAddress } from "@cassiapick/wire";
+import type { LinkMessage, PeerMessage } from "@cassiapick/core";
+import { encodeCompactFrame, openLink, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 
 /** Options of {@link createPeerLinks}. */
@@ -12,15 +12,17 @@
     localAddress: string;
     /** Monotonic time in milliseconds. */
     clock: () => number;
+    /** Called for each message that is sent to the state host `to`, with its bytes on the wire. */
+    onSent?: (to: string, message: unknown, bytes: number) => void;
 }
 
 /** Links to other state hosts, by their ids, which are their addresses. */
 export interface PeerLinks {
     send(to: string, message: PeerMessage): void;
-    /** Sends an encoded frame to those of `hostIds` to which a link is open; for the others it is dropped. No acknowledgement is expected. */
-    relay(hostIds: readonly string[], frame: Uint8Array): void;
+    /** Sends a message to those of `hostIds` to which a link is open; for the others it is dropped. No acknowledgement is expected. */
+    relay(hostIds: readonly string[], message: LinkMessage): void;
     /** Like `relay`, to those that understand evidence about requests. */
-    relayEvidence(hostIds: readonly string[], frame: Uint8Array): void;
+    relayEvidence(hostIds: readonly string[], message: LinkMessage): void;
     /** Opens the missing links to `hostIds`, so that frames can be relayed. */
     keepOpen(hostIds: readonly string[]): void;
     close(): void;
@@ -73,6 +75,7 @@
                 peer.unacknowledgedSince = undefined;
                 peer.takesEvidence ||= isLinkMessage(message) && message.k === LinkMessageKind.Ack && message.e === true;
             },
+            onSent: (_link, message, bytes) => options.onSent?.(to, message, bytes),
             onClose: closed => {
                 if (peer.link === closed) {
                     peer.link = undefined;
@@ -100,11 +103,12 @@
         return peer;
     };
 
-    const relay = (hostIds: readonly string[], frame: Uint8Array, accepts: (peer: Peer) => boolean): void => {
+    const relay = (hostIds: readonly string[], message: LinkMessage, accepts: (peer: Peer) => boolean): void => {
+        const frame = encodeCompactFrame(message);
         for (const hostId of hostIds) {
             const peer = peers.get(hostId);
             if (peer?.isOpen === true && accepts(peer)) {
-                peer.link?.sendFrame(frame);
+                peer.link?.sendFrame(frame, message);
             }
         }
     };
@@ -135,8 +139,8 @@
 
     return {
         send,
-        relay: (hostIds, frame) => relay(hostIds, frame, () => true),
-        relayEvidence: (hostIds, frame) => relay(hostIds, frame, ({ takesEvidence }) => takesEvidence),
+        relay: (hostIds, message) => relay(hostIds, message, () => true),
+        relayEvidence: (hostIds, message) => relay(hostIds, message, ({ takesEvidence }) => takesEvidence),
         keepOpen: hostIds => {
             for (const hostId of hostIds) {
                 const peer = obtainPeer(hostId);
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -7,6 +7,7 @@
 export * from "./gateway-config.js";
 export * from "./host-retry-budget.js";
 export * from "./limit-shares.js";
+export * from "./link-traffic.js";
 export * from "./liveness-monitor.js";
 export * from "./nearest-state-host.js";
 export * from "./path-monitor.js";
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -334,6 +334,7 @@
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
                 ...requestQuarantine.gauges(),
+                ...link.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -1,6 +1,14 @@
 /** Keeps an entry host attached to one state host at a time: receives its updates and sends reports to it. */
-import { createStateHostSelector, isLinkMessage, LinkMessageKind, toLimitReportRow, toReportRow } from "@cassiapick/core";
-import type { EntryHello, HostPhase, LimitReport, LinkMessage, Random, ServerReport } from "@cassiapick/core";
+import {
+    createLinkTraffic,
+    createStateHostSelector,
+    isLinkMessage,
+    linkDistance,
+    LinkMessageKind,
+    toLimitReportRow,
+    toReportRow,
+} from "@cassiapick/core";
+import type { EntryHello, HostPhase, LimitReport, LinkMessage, Random, ServerReport, StateHostContact } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import { openLink, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -39,6 +47,8 @@
     takesEvidence(): boolean;
     /** Sends collected reports immediately, so that other hosts avoid a server that has just failed. */
     sendReportsNow(): void;
+    /** What was sent to state hosts, by kind and distance. */
+    gauges(): Record<string, number>;
     close(): void;
 }
 
@@ -72,6 +82,8 @@
     /** The link of a state host that understands messages about requests, which it shows by sending one. */
     let evidenceLink: Link | undefined;
     let isStale = true;
+    const traffic = createLinkTraffic();
+    let contacts: readonly StateHostContact[] = [];
 
     const send = (message: LinkMessage): void => {
         if (attachedLink !== undefined) {
@@ -132,7 +144,8 @@
             return;
         }
         if (message.k === LinkMessageKind.Contacts) {
-            hostSelector.setContacts(message.contacts);
+            contacts = message.contacts;
+            hostSelector.setContacts(contacts);
         }
         if (message.k === LinkMessageKind.Quarantined) {
             evidenceLink = link;
@@ -147,6 +160,10 @@
         const link = openLink({ host, port, localAddress: options.localAddress, connectTimeoutMs, receiveTimeoutMs: silenceMs }, {
             onOpen: opened => opened.send({ k: LinkMessageKind.ViewQuery } satisfies LinkMessage),
             onMessage: (from, message) => receive(address, from, message),
+            onSent: (_link, message, bytes) => {
+                const contact = contacts.find(candidate => candidate.address === address);
+                traffic.sent(message, bytes, linkDistance(options, contact));
+            },
             onPartReceived: from => {
                 if (from === attachedLink) {
                     hostSelector.partReceived(address, clock());
@@ -230,6 +247,7 @@
         setSeeds: seeds => hostSelector.setSeeds(seeds),
         sendReportsNow: sendReports,
         takesEvidence,
+        gauges: () => traffic.gauges(),
         sendEvidence: message => {
             if (takesEvidence()) {
                 send(message);
--- a/packages/wire/src/lib/link.ts
+++ b/packages/wire/src/lib/link.ts
@@ -7,8 +7,8 @@
 export interface Link {
     /** Sends a message. Closes the connection instead when the peer has left too many bytes unread. */
     send(message: unknown): void;
-    /** Sends an encoded frame, so that a message to many links is encoded once. */
-    sendFrame(frame: Uint8Array): void;
+    /** Sends an encoded frame, so that a message to many links is encoded once; `message` is what it encodes. */
+    sendFrame(frame: Uint8Array, message?: unknown): void;
     close(): void;
 }
 
@@ -18,6 +18,8 @@
     onMessage: (link: Link, message: unknown) => void;
     /** Called when a chunk ends in an incomplete message. */
     onPartReceived?: (link: Link) => void;
+    /** Called for each message that is sent, with its bytes on the wire, framing included. */
+    onSent?: (link: Link, message: unknown, bytes: number) => void;
     /** Called as the last event of a connection, with a reason for the log. */
     onClose: (link: Link, reason: string) => void;
 }
@@ -85,7 +87,7 @@
         };
         timer = setTimeout(checkTimeout, receiveTimeoutMs);
     };
-    const sendFrame = (frame: Uint8Array): void => {
+    const sendFrame = (frame: Uint8Array, message: unknown): void => {
         if (socket.destroyed) {
             return;
         }
@@ -94,9 +96,10 @@
             return;
         }
         socket.write(frame);
+        handlers.onSent?.(link, message, frame.length);
     };
     const link: Link = {
-        send: message => sendFrame(encodeCompactFrame(message)),
+        send: message => sendFrame(encodeCompactFrame(message), message),
         sendFrame,
         close: () => fail("This host closed the connection."),
     };
