Send messages between state hosts in short forms, and less while hosts start

Cause: a heartbeat of the consensus took some 125 bytes, a fact some 340, mostly names of fields. An entry host that starts was recorded up to four times, each attachment sent the view's age to all attached hosts, and each that left was announced to all, also if it had never reported a load.

Change: appends, their replies and forwarded facts are arrays without names, to state hosts that say in their acknowledgements that they understand them (others are sent what they were sent). Maps have headers of one byte. A starting host is recorded once it is ready, or to replace an older record. Hosts of other zones that hold a configuration receive updates with the periodic message only.

--- a/packages/control/src/lib/ack-scheduler.ts
+++ b/packages/control/src/lib/ack-scheduler.ts
@@ -14,7 +14,7 @@
             linksAwaitingAck.add(link);
             setTimeout(() => {
                 linksAwaitingAck.delete(link);
-                link.send({ k: LinkMessageKind.Ack, e: true } satisfies LinkMessage);
+                link.send({ k: LinkMessageKind.Ack, e: true, c: true } satisfies LinkMessage);
             }, ackDelayMs);
         }
     };
--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -5,30 +5,31 @@
  */
 import {
     concernsOtherZones,
-    createLinkTraffic,
     createLivenessMonitor,
     entryAddressesForCaller,
+    fromCompactMessage,
     fromLimitReportRow,
     HostPhase,
     HostRole,
     isLinkMessage,
-    linkDistance,
     LinkMessageKind,
     nearestStateHost,
     StateReplyKind,
     StateRequestKind,
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
-import type { EntryHello, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, StateReply } from "@cassiapick/core";
+import type { EntryHello, FleetMachine, GatewayConfig, HostAnnouncement, LinkMessage, PeerMessage } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { createAckScheduler } from "./ack-scheduler.js";
+import { withCommitTimeout } from "./commit-outcome.js";
 import { ControlOutcome } from "./control-contract.js";
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
 import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
 import { createEntryPeersCache, stateContacts } from "./fleet-queries.js";
+import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createPeerLinks } from "./peer-links.js";
 import { createQuarantineRecorder } from "./quarantine-recorder.js";
@@ -52,24 +53,13 @@
 const entryHostTimeoutMs = 2200;
 /** Interval between two ticks of the consensus node, in milliseconds. */
 const consensusTickMs = 50;
-/**
- * Timeout for committing an announcement, a leave notice or a publication, in milliseconds. The sender of an announcement tries
- * another host after one second.
- */
-const commitTimeoutMs = 900;
-
-const isRecorded = (reply: StateReply): boolean => reply.kind === StateReplyKind.Recorded;
-
 /** Starts a state host; the promise resolves once it listens. */
 export const startControlHost = async (options: ControlHostOptions): Promise<ControlHost> => {
     const { hostId, clock, wallClock, log } = options;
     const startedAt = wallClock();
     const { host, port } = splitAddress(hostId);
-    const traffic = createLinkTraffic();
-    /** Counts a message to a state host, whose place the fleet's view has. */
-    const countForPeer = (to: string | undefined, message: unknown, bytes: number): void =>
-        traffic.sent(message, bytes, linkDistance(options, to === undefined ? undefined : driver.fleet()?.host(to)));
-    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock, onSent: countForPeer });
+    const traffic = createHostTraffic({ place: options, placeOfPeer: peerId => driver.fleet()?.host(peerId) });
+    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock, onSent: traffic.sentToPeer });
     const entryLinks = createEntryLinks(options.availabilityZone, wallClock);
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
@@ -110,33 +100,28 @@
 
     const entryPeersOf = createEntryPeersCache();
 
-    const sendUpdates = (): void => {
+    const sendUpdates = (isPeriodic = false): void => {
         const fleet = driver.fleet();
         if (fleet === undefined || entryLinks.size() === 0) {
             return;
         }
         const hosts = [...fleet.hosts()];
         const entryHosts = hosts.filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
-        entryLinks.sendUpdates({
-            fleet,
-            config: refreshConfig(fleet),
-            contacts: stateContacts(fleet, driver.voters()),
-            entryHosts,
-            limitShares: limitRecorder.sharesOf(fleet),
-            entryPeers: entryPeersOf(fleet),
-            quarantined: fleet.quarantined(),
-        }, clock());
+        entryLinks.sendUpdates(
+            {
+                fleet,
+                config: refreshConfig(fleet),
+                contacts: stateContacts(fleet, driver.voters()),
+                entryHosts,
+                limitShares: limitRecorder.sharesOf(fleet),
+                entryPeers: entryPeersOf(fleet),
+                quarantined: fleet.quarantined(),
+            },
+            clock(),
+            isPeriodic,
+        );
     };
 
-    const withCommitTimeout = (reply: Promise<StateReply>): Promise<ControlOutcome> =>
-        new Promise(resolve => {
-            const timer = setTimeout(() => resolve(ControlOutcome.Unavailable), commitTimeoutMs);
-            void reply.then(finalReply => {
-                clearTimeout(timer);
-                resolve(isRecorded(finalReply) ? ControlOutcome.Done : ControlOutcome.Unavailable);
-            });
-        });
-
     const recordFacts = createFactBatcher(facts => driver.handleRequest({ kind: StateRequestKind.Facts, facts }));
     const limitRecorder = createLimitRecorder({ recordFacts, log });
     const quarantineRecorder = createQuarantineRecorder({ recordFacts, wallClock, log });
@@ -179,7 +164,16 @@
         recordEntryHost(entryLinks.addHost(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
         sendUpdates();
-        sendViewAge();
+        // The other hosts receive it with the next period: a message to each of them for each that attaches is n times n.
+        entryLinks.sendViewAge(sendableViewAgeMs(), link);
+    };
+
+    const receiveConsensus = (link: Link, message: PeerMessage | undefined): void => {
+        const from = peerIds.get(link);
+        if (from !== undefined && isPeerMessage(message)) {
+            driver.receive(from, message);
+            scheduleAck(link);
+        }
     };
 
     // The fields of messages have short names on the wire: `k` is the kind, `m` a consensus message, `r` rows of reports.
@@ -201,13 +195,8 @@
                 void quarantineRecorder.record(fleet, q);
             }
         },
-        [LinkMessageKind.Consensus]: (link, { m }) => {
-            const from = peerIds.get(link);
-            if (from !== undefined && isPeerMessage(m)) {
-                driver.receive(from, m);
-                scheduleAck(link);
-            }
-        },
+        [LinkMessageKind.Consensus]: (link, { m }) => receiveConsensus(link, m),
+        [LinkMessageKind.CompactConsensus]: (link, { m }) => receiveConsensus(link, fromCompactMessage(m)),
         [LinkMessageKind.ViewQuery]: link => link.send(viewAgeMessage(sendableViewAgeMs())),
         [LinkMessageKind.EntryHello]: attachEntryHost,
         [LinkMessageKind.Phase]: (link, { phase }) => recordEntryHost(entryLinks.setPhase(link, phase)),
@@ -229,8 +218,6 @@
     /** The age of the view that entry hosts can be sent; `Infinity` while there is none. */
     const sendableViewAgeMs = (): number => driver.fleet() === undefined ? Infinity : driver.viewAgeMs();
 
-    const sendViewAge = (): void => entryLinks.sendViewAge(sendableViewAgeMs());
-
     const otherVoters = (): string[] => driver.voters().filter(voter => voter !== hostId);
 
     const relayReports = (): void => {
@@ -253,13 +240,9 @@
             lastReceivedAt.set(link, clock());
         },
         onSent: (link, message, bytes) => {
-            const entryHost = entryLinks.hostOf(link);
-            if (entryHost === undefined) {
-                countForPeer(peerIds.get(link), message, bytes);
-            }
-            else {
-                traffic.sent(message, bytes, linkDistance(options, entryHost));
-            }
+            const peerId = peerIds.get(link);
+            const place = peerId === undefined ? entryLinks.hostOf(link) : driver.fleet()?.host(peerId);
+            traffic.sentTo(place, message, bytes);
         },
         onClose: (link, reason) => {
             peerIds.delete(link);
@@ -283,8 +266,8 @@
         setInterval(relayReports, relayIntervalMs),
         setInterval(() => {
             // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
-            sendUpdates();
-            sendViewAge();
+            sendUpdates(true);
+            entryLinks.sendViewAge(sendableViewAgeMs());
         }, viewAgeIntervalMs),
         setInterval(() => {
             sendUpdates();
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -49,13 +49,16 @@
     setPhase(link: Link, phase: HostAnnouncement["state"]): HostAnnouncement | undefined;
     /** Removes the host of a closed link; returns it unless it is attached by another link. */
     removeHost(link: Link): HostAnnouncement | undefined;
-    /** Sends each host the differences between `snapshot` and what it has received. */
-    sendUpdates(snapshot: FleetSnapshot, now: number): void;
+    /**
+     * Sends each host the differences between `snapshot` and what it has received. Hosts of other availability zones that hold
+     * a configuration receive them in periodic calls only, as many small updates cost more bytes than a few.
+     */
+    sendUpdates(snapshot: FleetSnapshot, now: number, isPeriodic?: boolean): void;
     /**
      * Sends the upper bound of the view's age to the hosts that were sent the whole view. The others get a heartbeat, as what
-     * they hold may be older.
+     * they hold may be older. With `onlyTo`, nothing is sent to other links.
      */
-    sendViewAge(ageMs: number): void;
+    sendViewAge(ageMs: number, onlyTo?: Link): void;
     /** Queues reports of an attached host. */
     addReports(link: Link, rows: readonly ReportRow[]): void;
     /** Relays the queued reports to the other attached hosts; returns those with failures. */
@@ -77,6 +80,8 @@
     serversRevision: number;
     /** The contacts sent last, as JSON; "" before the first ones. */
     sentContacts: string;
+    /** The number of entry hosts sent last. */
+    sentEntryHosts: number;
     /** The shares of limits sent last, as JSON; "" before the first ones. */
     sentShares: string;
     /** The list of peers sent last. */
@@ -90,6 +95,8 @@
     /** Whether servers and configuration were sent up to the latest snapshot. */
     isUpToDate: boolean;
     pendingReports: ReportRow[];
+    /** Whether other hosts were sent reports of this one. */
+    hasReported: boolean;
 }
 
 /** Recent configurations are retained, so that a host that reattaches needs only the difference. */
@@ -165,17 +172,27 @@
         link.send({ k: LinkMessageKind.Quarantined, q } satisfies LinkMessage);
     };
 
-    const sendUpdates = (snapshot: FleetSnapshot, now: number): void => {
+    /** Whether a host gets no update before the next periodic call; changes of the state hosts are sent to all at once. */
+    const isDeferred = (attachedHost: AttachedHost, contactsText: string): boolean =>
+        attachedHost.host.availabilityZone !== availabilityZone && attachedHost.configNumber > 0
+        && attachedHost.sentContacts === contactsText;
+
+    const sendUpdates = (snapshot: FleetSnapshot, now: number, isPeriodic = false): void => {
         const { fleet, config, contacts, entryHosts, limitShares, entryPeers } = snapshot;
         if (config !== undefined) {
             retainConfig(config);
         }
-        const contactsText = JSON.stringify([contacts, entryHosts]);
+        const contactsText = JSON.stringify(contacts);
         const revision = fleet.serversRevision();
         for (const [link, attachedHost] of attachedHosts) {
-            if (contactsText !== attachedHost.sentContacts) {
+            if (!isPeriodic && isDeferred(attachedHost, contactsText)) {
+                attachedHost.isUpToDate = false;
+                continue;
+            }
+            if (contactsText !== attachedHost.sentContacts || entryHosts !== attachedHost.sentEntryHosts) {
                 link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
                 attachedHost.sentContacts = contactsText;
+                attachedHost.sentEntryHosts = entryHosts;
             }
             attachedHost.isUpToDate = !isExpectedToMove(attachedHost, contacts, now);
             if (!attachedHost.isUpToDate) {
@@ -220,6 +237,7 @@
         const outcomes = reportingHosts.flatMap(attachedHost => attachedHost.pendingReports.filter(concernsOtherZones));
         for (const attachedHost of reportingHosts) {
             attachedHost.pendingReports = [];
+            attachedHost.hasReported = true;
         }
         return outcomes;
     };
@@ -237,6 +255,7 @@
                 configNumber,
                 serversRevision,
                 sentContacts: "",
+                sentEntryHosts: 0,
                 sentShares: "",
                 sentPeers: [],
                 takesLimits: hello.takesLimits === true,
@@ -244,6 +263,7 @@
                 sentQuarantined: undefined,
                 isUpToDate: false,
                 pendingReports: [],
+                hasReported: false,
             });
             nextKey += 1;
             return host;
@@ -262,18 +282,23 @@
                 return undefined;
             }
             attachedHosts.delete(link);
-            broadcast({ k: LinkMessageKind.HostLeft, h: attachedHost.key });
+            if (attachedHost.hasReported) {
+                broadcast({ k: LinkMessageKind.HostLeft, h: attachedHost.key });
+            }
             // The host may already be attached again by a newer link.
             const isStillAttached = [...attachedHosts.values()].some(other => other.host.hostId === attachedHost.host.hostId);
             return isStillAttached ? undefined : attachedHost.host;
         },
         sendUpdates,
-        sendViewAge: ageMs => {
+        sendViewAge: (ageMs, onlyTo) => {
             const viewAge = viewAgeMessage(ageMs);
             const viewAgeFrame = encodeCompactFrame(viewAge);
             const heartbeat: LinkMessage = { k: LinkMessageKind.Heartbeat };
             const heartbeatFrame = encodeCompactFrame(heartbeat);
             for (const [link, { isUpToDate }] of attachedHosts) {
+                if (onlyTo !== undefined && link !== onlyTo) {
+                    continue;
+                }
                 link.sendFrame(isUpToDate ? viewAgeFrame : heartbeatFrame, isUpToDate ? viewAge : heartbeat);
             }
         },
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,5 +1,5 @@
 /** Outgoing links for consensus messages between state hosts; a link is opened on demand. */
-import { isLinkMessage, LinkMessageKind } from "@cassiapick/core";
+import { isLinkMessage, LinkMessageKind, toCompactMessage } from "@cassiapick/core";
 import type { LinkMessage, PeerMessage } from "@cassiapick/core";
 import { encodeCompactFrame, openLink, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -45,6 +45,8 @@
     isOpen: boolean;
     /** Whether the peer understands evidence about requests; it says so in its acknowledgements. */
     takesEvidence: boolean;
+    /** Whether the peer understands short forms of the consensus; it says so in its acknowledgements. */
+    takesCompact: boolean;
     /**
      * When the first consensus message was sent after the last message from the peer; `undefined` if none was sent since.
      * Any message from the peer clears it.
@@ -57,6 +59,14 @@
 /** Most messages that wait for a connection; older ones are dropped, and the consensus retries them. */
 const maxQueuedMessages = 32;
 
+/** Puts a message of the consensus into the form that a peer understands. */
+const consensusMessage = (peer: Peer, message: PeerMessage): LinkMessage => {
+    const compact = peer.takesCompact ? toCompactMessage(message) : undefined;
+    return compact === undefined
+        ? { k: LinkMessageKind.Consensus, m: message }
+        : { k: LinkMessageKind.CompactConsensus, m: compact };
+};
+
 /** Creates the outgoing links of one state host. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
     const peers = new Map<string, Peer>();
@@ -68,12 +78,15 @@
                 peer.isOpen = true;
                 opened.send({ k: LinkMessageKind.PeerHello, hostId: options.hostId });
                 for (const message of peer.queuedMessages.splice(0)) {
-                    opened.send({ k: LinkMessageKind.Consensus, m: message });
+                    opened.send(consensusMessage(peer, message));
                 }
             },
             onMessage: (_link, message) => {
                 peer.unacknowledgedSince = undefined;
-                peer.takesEvidence ||= isLinkMessage(message) && message.k === LinkMessageKind.Ack && message.e === true;
+                if (isLinkMessage(message) && message.k === LinkMessageKind.Ack) {
+                    peer.takesEvidence ||= message.e === true;
+                    peer.takesCompact ||= message.c === true;
+                }
             },
             onSent: (_link, message, bytes) => options.onSent?.(to, message, bytes),
             onClose: closed => {
@@ -81,6 +94,7 @@
                     peer.link = undefined;
                     peer.isOpen = false;
                     peer.takesEvidence = false;
+                    peer.takesCompact = false;
                     peer.unacknowledgedSince = undefined;
                     peer.reconnectAt = options.clock() + reconnectDelayMs;
                     peer.queuedMessages = [];
@@ -95,6 +109,7 @@
             link: undefined,
             isOpen: false,
             takesEvidence: false,
+            takesCompact: false,
             unacknowledgedSince: undefined,
             reconnectAt: 0,
             queuedMessages: [],
@@ -122,7 +137,7 @@
         }
         if (peer.isOpen && peer.link !== undefined) {
             peer.unacknowledgedSince ??= now;
-            peer.link.send({ k: LinkMessageKind.Consensus, m: message });
+            peer.link.send(consensusMessage(peer, message));
             return;
         }
         if (now < peer.reconnectAt) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./lib/backend-server.js";
 export * from "./lib/claims/index.js";
 export * from "./lib/consensus/bootstrap.js";
+export * from "./lib/consensus/compact-messages.js";
 export * from "./lib/consensus/configuration-machine.js";
 export * from "./lib/consensus/log-entry.js";
 export * from "./lib/consensus/node-context.js";
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -4,6 +4,7 @@
  * Traffic between availability zones and regions is billed, so kinds are single letters, rows are arrays, and only changes
  * are sent.
  */
+import type { CompactMessage } from "../consensus/compact-messages.js";
 import type { PeerMessage } from "../consensus/node-messages.js";
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { EvidenceRow } from "../quarantine/request-evidence.js";
@@ -20,6 +21,8 @@
     PeerHello = "P",
     /** A message of the consensus protocol. */
     Consensus = "C",
+    /** A message of the consensus protocol in its short form, to state hosts that say that they understand it. */
+    CompactConsensus = "c",
     /** Confirms that messages arrive, on links that otherwise carry messages in one direction only. */
     Ack = "R",
     /** First message of an entry host. */
@@ -117,8 +120,9 @@
 export type LinkMessage =
     | { k: LinkMessageKind.PeerHello; hostId: string; }
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
-    /** `e` is set if the sender understands evidence about requests. */
-    | { k: LinkMessageKind.Ack; e?: boolean; }
+    | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
+    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms of the consensus. */
+    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; }
     | EntryHello
     | { k: LinkMessageKind.Heartbeat; }
     | { k: LinkMessageKind.Phase; phase: HostPhase; }
--- a/packages/core/src/lib/gateway/link-traffic.ts
+++ b/packages/core/src/lib/gateway/link-traffic.ts
@@ -1,5 +1,8 @@
 /** Counts what one host sends on its links, by kind of message and by distance, as bytes between zones and regions are billed. */
-import { LinkMessageKind } from "./fleet-messages.js";
+import { carriesEntries, compactMessageKind } from "../consensus/compact-messages.js";
+import { PeerMessageKind } from "../consensus/node-messages.js";
+import type { PeerMessage } from "../consensus/node-messages.js";
+import { isLinkMessage, LinkMessageKind } from "./fleet-messages.js";
 
 /** How far the other end of a link is. */
 export enum LinkDistance {
@@ -30,10 +33,23 @@
 /** Messages that don't say their kind are counted under this name. */
 const otherKindName = "Other";
 
-const kindNameOf = (message: unknown): string =>
-    typeof message === "object" && message !== null && "k" in message
-        ? kindNames.get(message.k) ?? otherKindName
-        : otherKindName;
+/** Messages of the consensus are counted by their own kinds, and those that carry entries apart from heartbeats. */
+const consensusNameOf = (kind: PeerMessageKind, hasEntries: boolean): string => `Consensus-${hasEntries ? "entries" : kind}`;
+
+const hasEntries = (message: PeerMessage): boolean => message.kind === PeerMessageKind.Append && message.entries.length > 0;
+
+const kindNameOf = (message: unknown): string => {
+    if (!isLinkMessage(message)) {
+        return otherKindName;
+    }
+    if (message.k === LinkMessageKind.Consensus) {
+        return consensusNameOf(message.m.kind, hasEntries(message.m));
+    }
+    if (message.k === LinkMessageKind.CompactConsensus) {
+        return consensusNameOf(compactMessageKind(message.m), carriesEntries(message.m));
+    }
+    return kindNames.get(message.k) ?? otherKindName;
+};
 
 /** Returns the distance between a host at `own` and one at `other`. */
 export const linkDistance = (own: LinkPlace, other: LinkPlace | undefined): LinkDistance => {
--- a/packages/core/src/lib/gateway/liveness-monitor.ts
+++ b/packages/core/src/lib/gateway/liveness-monitor.ts
@@ -2,7 +2,7 @@
  * Monitors, on one state host, the backend servers that announce themselves to it and the entry hosts attached to it, and
  * derives the facts that the replicated state lacks.
  */
-import { FactKind, HostPhase, ServingState } from "../fleet/facts.js";
+import { FactKind, HostPhase, HostRole, ServingState } from "../fleet/facts.js";
 import type { Fact, FleetHost, FleetServer, HostAnnouncement, ServerAnnouncement } from "../fleet/facts.js";
 import type { FleetMachine } from "../fleet/fleet-machine.js";
 
@@ -117,8 +117,18 @@
 
     const isFact = (fact: Fact | undefined): fact is Fact => fact !== undefined;
 
+    /**
+     * A host that starts may attach to several state hosts before it is ready. Until then it is recorded only to replace the
+     * record of an earlier process, as each fact goes to all state hosts.
+     */
+    const isUnneeded = (record: FleetHost | undefined, host: HostAnnouncement): boolean =>
+        record === undefined && host.role === HostRole.Entry && host.state === HostPhase.Leaving;
+
+    const isMissing = (record: FleetHost | undefined, host: HostAnnouncement): boolean =>
+        !isRecordedHost(record, host) && !isUnneeded(record, host);
+
     const missingFacts = (fleet: FleetMachine, now: number): Fact[] => {
-        const changedHosts = [...attachedHosts.values()].filter(host => !isRecordedHost(fleet.host(host.hostId), host));
+        const changedHosts = [...attachedHosts.values()].filter(host => isMissing(fleet.host(host.hostId), host));
         return [
             ...changedHosts.map((host): Fact => ({ kind: FactKind.Host, host, keeper: cfg.stateHostId })),
             ...[...fleet.hosts()].map(record => departureFact(record, now)).filter(isFact),
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -24,7 +24,8 @@
     hasPartialFrame(): boolean;
 }
 
-const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+/** Maps have headers of one byte where cbor-x takes three by default. */
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, variableMapSize: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
 /** Encodes one value as a frame. */
