Deflate long messages between state hosts against what their link has carried

Cause: each published document (7 KB deflated, as keys deflate badly) went to five state hosts, with each forwarded publication and with each read that a follower forwards to the leader.

Change: frames with history, whose dictionary are the last 32 KB that the same link has carried in the same direction; only to peers that say that they understand them, which they now say as their first message.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -63,7 +63,7 @@
     const entryLinks = createEntryLinks(options.availabilityZone, wallClock);
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
-    const scheduleAck = createAckScheduler();
+    const acks = createAckScheduler();
     const lastReceivedAt = new Map<Link, number>();
     let latestConfig: GatewayConfig | undefined;
     let isStopping = false;
@@ -172,7 +172,7 @@
         const from = peerIds.get(link);
         if (from !== undefined && isPeerMessage(message)) {
             driver.receive(from, message);
-            scheduleAck(link);
+            acks.schedule(link);
         }
     };
 
@@ -181,7 +181,7 @@
     const handlers: Handlers = {
         [LinkMessageKind.PeerHello]: (link, message) => {
             peerIds.set(link, message.hostId);
-            scheduleAck(link);
+            acks.greet(link);
         },
         [LinkMessageKind.RequestEvidence]: (link, { r }) => {
             entryLinks.relayEvidence(r, link);
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,8 +1,8 @@
 /** Outgoing links for consensus messages between state hosts; a link is opened on demand. */
 import { isLinkMessage, LinkMessageKind, toCompactMessage } from "@cassiapick/core";
 import type { LinkMessage, PeerMessage } from "@cassiapick/core";
-import { encodeCompactFrame, openLink, splitAddress } from "@cassiapick/wire";
-import type { Link } from "@cassiapick/wire";
+import { createFrameHistory, encodeCompactFrame, encodeFrameWithHistory, openLink, splitAddress } from "@cassiapick/wire";
+import type { FrameHistory, Link } from "@cassiapick/wire";
 
 /** Options of {@link createPeerLinks}. */
 export interface PeerLinksOptions {
@@ -45,8 +45,10 @@
     isOpen: boolean;
     /** Whether the peer understands evidence about requests; it says so in its acknowledgements. */
     takesEvidence: boolean;
-    /** Whether the peer understands short forms of the consensus; it says so in its acknowledgements. */
+    /** Whether the peer understands short forms of the consensus and frames with history; it says so in its acknowledgements. */
     takesCompact: boolean;
+    /** What the link has carried in frames with history. */
+    history: FrameHistory;
     /**
      * When the first consensus message was sent after the last message from the peer; `undefined` if none was sent since.
      * Any message from the peer clears it.
@@ -59,12 +61,16 @@
 /** Most messages that wait for a connection; older ones are dropped, and the consensus retries them. */
 const maxQueuedMessages = 32;
 
-/** Puts a message of the consensus into the form that a peer understands. */
-const consensusMessage = (peer: Peer, message: PeerMessage): LinkMessage => {
-    const compact = peer.takesCompact ? toCompactMessage(message) : undefined;
-    return compact === undefined
-        ? { k: LinkMessageKind.Consensus, m: message }
-        : { k: LinkMessageKind.CompactConsensus, m: compact };
+/** Sends a message of the consensus in the shortest form that the peer understands. */
+const sendConsensus = (peer: Peer, link: Link, message: PeerMessage): void => {
+    const whole: LinkMessage = { k: LinkMessageKind.Consensus, m: message };
+    if (!peer.takesCompact) {
+        link.send(whole);
+        return;
+    }
+    const compact = toCompactMessage(message);
+    const shortest: LinkMessage = compact === undefined ? whole : { k: LinkMessageKind.CompactConsensus, m: compact };
+    link.sendFrame(encodeFrameWithHistory(shortest, peer.history), shortest);
 };
 
 /** Creates the outgoing links of one state host. */
@@ -78,7 +84,7 @@
                 peer.isOpen = true;
                 opened.send({ k: LinkMessageKind.PeerHello, hostId: options.hostId });
                 for (const message of peer.queuedMessages.splice(0)) {
-                    opened.send(consensusMessage(peer, message));
+                    sendConsensus(peer, opened, message);
                 }
             },
             onMessage: (_link, message) => {
@@ -95,6 +101,7 @@
                     peer.isOpen = false;
                     peer.takesEvidence = false;
                     peer.takesCompact = false;
+                    peer.history = createFrameHistory();
                     peer.unacknowledgedSince = undefined;
                     peer.reconnectAt = options.clock() + reconnectDelayMs;
                     peer.queuedMessages = [];
@@ -110,6 +117,7 @@
             isOpen: false,
             takesEvidence: false,
             takesCompact: false,
+            history: createFrameHistory(),
             unacknowledgedSince: undefined,
             reconnectAt: 0,
             queuedMessages: [],
@@ -137,7 +145,7 @@
         }
         if (peer.isOpen && peer.link !== undefined) {
             peer.unacknowledgedSince ??= now;
-            peer.link.send(consensusMessage(peer, message));
+            sendConsensus(peer, peer.link, message);
             return;
         }
         if (now < peer.reconnectAt) {
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -121,7 +121,8 @@
     | { k: LinkMessageKind.PeerHello; hostId: string; }
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
     | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
-    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms of the consensus. */
+    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms of the consensus
+     * and frames with history. */
     | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; }
     | EntryHello
     | { k: LinkMessageKind.Heartbeat; }
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -1,9 +1,11 @@
 /**
  * Encoding of frames: a big-endian length of four bytes, then one cbor-x value, which is deflated when the highest bit of the
- * length is set.
+ * length is set. If the next bit is set too, earlier values of the link are the dictionary.
  */
 import { Decoder, Encoder } from "cbor-x";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { createFrameHistory } from "./frame-history.js";
+import type { FrameHistory } from "./frame-history.js";
 
 const lengthPrefixBytes = 4;
 /** The default limit for a received frame and for its inflated value, in bytes. */
@@ -44,17 +46,31 @@
 /** The fastest level; it compresses tables of routes and servers to a fifth of their size. */
 const deflateLevel = 1;
 
+/** The bit of the length that marks a value for which earlier values of the link are the dictionary. */
+const historyBit = 0x4000_0000;
+/** Shorter values gain little, in bytes. */
+const minHistoryBytes = 160;
+
+const deflatedFrame = (deflated: Buffer, bits: number): Buffer => {
+    const frame = Buffer.allocUnsafe(lengthPrefixBytes + deflated.length);
+    frame.writeUInt32BE(bits + deflated.length, 0);
+    deflated.copy(frame, lengthPrefixBytes);
+    return frame;
+};
+
 /** Encodes one value as a frame; deflates values of `minDeflateBytes` or more. */
 export const encodeCompactFrame = (value: unknown): Buffer => {
     const body = encoder.encode(value);
     if (body.length < minDeflateBytes) {
         return encodeFrame(value);
     }
-    const deflated = deflateRawSync(body, { level: deflateLevel });
-    const frame = Buffer.allocUnsafe(lengthPrefixBytes + deflated.length);
-    frame.writeUInt32BE(deflatedBit + deflated.length, 0);
-    deflated.copy(frame, lengthPrefixBytes);
-    return frame;
+    return deflatedFrame(deflateRawSync(body, { level: deflateLevel }), deflatedBit);
+};
+
+/** Encodes one value as a frame for a link that has carried the values of `history`; values under `minHistoryBytes` are not deflated. */
+export const encodeFrameWithHistory = (value: unknown, history: FrameHistory): Buffer => {
+    const body = encoder.encode(value);
+    return body.length < minHistoryBytes ? encodeFrame(value) : deflatedFrame(history.deflate(body), deflatedBit + historyBit);
 };
 
 const tooLargeResult = (bytes: number, limitBytes: number): FrameResult => ({
@@ -78,6 +94,10 @@
 /** Creates the reader of one connection. `limitBytes` limits each frame and each inflated value. */
 export const createFrameReader = (limitBytes = maxFrameBytes): FrameReader => {
     let buffered = Buffer.alloc(0);
+    const history = createFrameHistory();
+
+    const inflate = (body: Uint8Array, hasHistory: boolean): Buffer =>
+        hasHistory ? history.inflate(body, limitBytes) : inflateRawSync(body, { maxOutputLength: limitBytes });
 
     const push = (chunk: Uint8Array): FrameResult => {
         buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
@@ -85,7 +105,8 @@
         while (buffered.length >= lengthPrefixBytes) {
             const length = buffered.readUInt32BE(0);
             const isDeflated = length >= deflatedBit;
-            const bytes = isDeflated ? length - deflatedBit : length;
+            const hasHistory = isDeflated && length - deflatedBit >= historyBit;
+            const bytes = length - (isDeflated ? deflatedBit : 0) - (hasHistory ? historyBit : 0);
             if (bytes > limitBytes) {
                 return tooLargeResult(bytes, limitBytes);
             }
@@ -95,7 +116,7 @@
             }
             try {
                 const body = buffered.subarray(lengthPrefixBytes, frameEnd);
-                values.push(decoder.decode(isDeflated ? inflateRawSync(body, { maxOutputLength: limitBytes }) : body));
+                values.push(decoder.decode(isDeflated ? inflate(body, hasHistory) : body));
             }
             catch {
                 return malformedResult();
