Don't wrap short forms, and defer updates to starting hosts of other zones

Cause: the wrapping was a third of a heartbeat's 22 bytes. Hosts of other zones without a configuration were sent each change of contacts.

Change: short forms are bare arrays on the wire. Hosts of other zones are told at once of the first state host of their own zone and of their first configuration, and of all else periodically.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -9,6 +9,7 @@
     entryAddressesForCaller,
     fromCompactMessage,
     fromLimitReportRow,
+    fromWireValue,
     HostPhase,
     HostRole,
     isLinkMessage,
@@ -28,7 +29,7 @@
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
 import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
-import { createEntryPeersCache, stateContacts } from "./fleet-queries.js";
+import { createEntryPeersCache, createGatheringCheck, stateContacts } from "./fleet-queries.js";
 import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createPeerLinks } from "./peer-links.js";
@@ -99,6 +100,7 @@
     };
 
     const entryPeersOf = createEntryPeersCache();
+    const isGathering = createGatheringCheck();
 
     const sendUpdates = (isPeriodic = false): void => {
         const fleet = driver.fleet();
@@ -112,6 +114,7 @@
                 fleet,
                 config: refreshConfig(fleet),
                 contacts: stateContacts(fleet, driver.voters()),
+                isGathering: isGathering(driver.voters(), clock()),
                 entryHosts,
                 limitShares: limitRecorder.sharesOf(fleet),
                 entryPeers: entryPeersOf(fleet),
@@ -229,7 +232,8 @@
 
     // A receive timeout of 0 disables it; links of silent entry hosts are closed below.
     const server = await createLinkServer({ host, port, receiveTimeoutMs: 0 }, {
-        onMessage: (link, message) => {
+        onMessage: (link, value) => {
+            const message = fromWireValue(value);
             if (!isLinkMessage(message)) {
                 log.log("peerRejected", { reason: "This version does not support the kind of the message." });
                 link.close();
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -31,6 +31,8 @@
     fleet: FleetMachine;
     config: GatewayConfig | undefined;
     contacts: StateHostContact[];
+    /** Whether state hosts have joined just now, so that others may follow. */
+    isGathering?: boolean;
     /** Number of entry hosts in the fleet. */
     entryHosts: number;
     limitShares: LimitShares;
@@ -82,6 +84,8 @@
     sentContacts: string;
     /** The number of entry hosts sent last. */
     sentEntryHosts: number;
+    /** When the host was first told of a state host of its own availability zone; `undefined` before that. */
+    nearHostSince: number | undefined;
     /** The shares of limits sent last, as JSON; "" before the first ones. */
     sentShares: string;
     /** The list of peers sent last. */
@@ -105,6 +109,12 @@
 /** Time for a host to move to a nearer state host, in milliseconds: a round trip, its next check and connection setup. */
 const moveTimeoutMs = 350;
 
+/** How long a host without a configuration is kept waiting for a state host of its own availability zone to join, in milliseconds. */
+const gatheringTimeoutMs = 1500;
+
+const namesHostOf = (contacts: readonly StateHostContact[], availabilityZone: string): boolean =>
+    contacts.some(contact => contact.availabilityZone === availabilityZone);
+
 /** Creates the message with the age of a view, in milliseconds; `Infinity` if no majority confirms it. */
 export const viewAgeMessage = (ageMs: number): LinkMessage => ({
     k: LinkMessageKind.ViewAge,
@@ -132,9 +142,43 @@
     };
 
     /** Whether a host will probably move to a state host of its own availability zone, so that further updates would be wasted. */
-    const isExpectedToMove = (attachedHost: AttachedHost, contacts: readonly StateHostContact[], now: number): boolean =>
-        now - attachedHost.attachedAt < moveTimeoutMs && attachedHost.host.availabilityZone !== availabilityZone
-        && contacts.some(contact => contact.availabilityZone === attachedHost.host.availabilityZone);
+    const isExpectedToMove = (attachedHost: AttachedHost, snapshot: FleetSnapshot, now: number): boolean => {
+        const { attachedAt, nearHostSince, configNumber, host } = attachedHost;
+        if (host.availabilityZone === availabilityZone) {
+            return false;
+        }
+        if (nearHostSince === undefined) {
+            return configNumber === 0 && snapshot.isGathering === true && now - attachedAt < gatheringTimeoutMs;
+        }
+        return now - (configNumber === 0 ? nearHostSince : attachedAt) < moveTimeoutMs;
+    };
+
+    /**
+     * Whether a host gets no update before the next periodic call. It is told at once of the first state host of its own
+     * availability zone, and receives its first configuration at once.
+     */
+    const isDeferred = (attachedHost: AttachedHost, snapshot: FleetSnapshot, now: number): boolean => {
+        const { host, sentContacts, nearHostSince, configNumber } = attachedHost;
+        const isNear = host.availabilityZone === availabilityZone;
+        const hasNewNearHost = nearHostSince === undefined && namesHostOf(snapshot.contacts, host.availabilityZone);
+        if (isNear || sentContacts === "" || hasNewNearHost) {
+            return false;
+        }
+        return configNumber > 0 || snapshot.config === undefined || isExpectedToMove(attachedHost, snapshot, now);
+    };
+
+    const sendContacts = (link: Link, attachedHost: AttachedHost, snapshot: FleetSnapshot, text: string, now: number): void => {
+        const { contacts, entryHosts } = snapshot;
+        if (text === attachedHost.sentContacts && entryHosts === attachedHost.sentEntryHosts) {
+            return;
+        }
+        link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
+        attachedHost.sentContacts = text;
+        attachedHost.sentEntryHosts = entryHosts;
+        if (namesHostOf(contacts, attachedHost.host.availabilityZone)) {
+            attachedHost.nearHostSince ??= now;
+        }
+    };
 
     const sendLimitShares = (link: Link, attachedHost: AttachedHost, limitShares: LimitShares): void => {
         if (!attachedHost.takesLimits) {
@@ -172,29 +216,20 @@
         link.send({ k: LinkMessageKind.Quarantined, q } satisfies LinkMessage);
     };
 
-    /** Whether a host gets no update before the next periodic call; changes of the state hosts are sent to all at once. */
-    const isDeferred = (attachedHost: AttachedHost, contactsText: string): boolean =>
-        attachedHost.host.availabilityZone !== availabilityZone && attachedHost.configNumber > 0
-        && attachedHost.sentContacts === contactsText;
-
     const sendUpdates = (snapshot: FleetSnapshot, now: number, isPeriodic = false): void => {
-        const { fleet, config, contacts, entryHosts, limitShares, entryPeers } = snapshot;
+        const { fleet, config, contacts, limitShares, entryPeers } = snapshot;
         if (config !== undefined) {
             retainConfig(config);
         }
         const contactsText = JSON.stringify(contacts);
         const revision = fleet.serversRevision();
         for (const [link, attachedHost] of attachedHosts) {
-            if (!isPeriodic && isDeferred(attachedHost, contactsText)) {
+            if (!isPeriodic && isDeferred(attachedHost, snapshot, now)) {
                 attachedHost.isUpToDate = false;
                 continue;
             }
-            if (contactsText !== attachedHost.sentContacts || entryHosts !== attachedHost.sentEntryHosts) {
-                link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
-                attachedHost.sentContacts = contactsText;
-                attachedHost.sentEntryHosts = entryHosts;
-            }
-            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, contacts, now);
+            sendContacts(link, attachedHost, snapshot, contactsText, now);
+            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, snapshot, now);
             if (!attachedHost.isUpToDate) {
                 continue;
             }
@@ -256,6 +291,7 @@
                 serversRevision,
                 sentContacts: "",
                 sentEntryHosts: 0,
+                nearHostSince: undefined,
                 sentShares: "",
                 sentPeers: [],
                 takesLimits: hello.takesLimits === true,
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,5 +1,5 @@
 /** Outgoing links for consensus messages between state hosts; a link is opened on demand. */
-import { isLinkMessage, LinkMessageKind, toCompactMessage } from "@cassiapick/core";
+import { isLinkMessage, LinkMessageKind, toCompactMessage, toWireValue } from "@cassiapick/core";
 import type { LinkMessage, PeerMessage } from "@cassiapick/core";
 import { createFrameHistory, encodeCompactFrame, encodeFrameWithHistory, openLink, splitAddress } from "@cassiapick/wire";
 import type { FrameHistory, Link } from "@cassiapick/wire";
@@ -70,7 +70,7 @@
     }
     const compact = toCompactMessage(message);
     const shortest: LinkMessage = compact === undefined ? whole : { k: LinkMessageKind.CompactConsensus, m: compact };
-    link.sendFrame(encodeFrameWithHistory(shortest, peer.history), shortest);
+    link.sendFrame(encodeFrameWithHistory(toWireValue(shortest), peer.history), shortest);
 };
 
 /** Creates the outgoing links of one state host. */
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -151,6 +151,14 @@
 export const isLinkMessage = (value: unknown): value is LinkMessage =>
     typeof value === "object" && value !== null && "k" in value && linkMessageKinds.has(value.k);
 
+/** What is sent for a message: short forms of the consensus, which are sent most often, are not wrapped. */
+export const toWireValue = (message: LinkMessage): unknown =>
+    message.k === LinkMessageKind.CompactConsensus ? message.m : message;
+
+/** The message that a decoded frame stands for. */
+export const fromWireValue = (value: unknown): unknown =>
+    Array.isArray(value) ? { k: LinkMessageKind.CompactConsensus, m: value as CompactMessage } : value;
+
 /** Encodes a server's record as a row. */
 export const toServerRow = (server: FleetServer): ServerRow => [
     server.number,
--- a/packages/core/src/test/liveness-monitor_test.ts
+++ b/packages/core/src/test/liveness-monitor_test.ts
@@ -99,4 +99,21 @@
         commit(monitor.missingFacts(fleet, 2100));
         expect(fleet.host("h")?.state).to.equal(HostPhase.Ready);
     });
+
+    const starting: HostAnnouncement = { ...host, state: HostPhase.Leaving, startedAt: 6 };
+    const recorded: [name: string, known: HostAnnouncement | undefined, host: HostAnnouncement, isRecorded: boolean][] = [
+        ["not a host that starts for the first time", undefined, starting, false],
+        ["a host that is ready", undefined, { ...host, startedAt: 6 }, true],
+        ["a host that starts again, as the record says that callers may connect", host, starting, true],
+        ["a host that stops", { ...host, startedAt: 6 }, starting, true],
+        ["a state host, also one that stops", undefined, { ...starting, role: HostRole.State }, true],
+    ];
+    for (const [name, known, attached, isRecorded] of recorded) {
+        it(`records ${name}`, () => {
+            const { fleet, monitor, commit } = setUp();
+            commit([known === undefined ? undefined : { kind: FactKind.Host, host: known, keeper: "k1" }]);
+            monitor.hostAttached(attached);
+            expect(monitor.missingFacts(fleet, 0).length).to.equal(isRecorded ? 1 : 0);
+        });
+    }
 });
