Tell other zones of a failure in three bytes

Change: between state hosts that understand short forms, one failure of a server is its number, and values under 32 bytes have one byte of length.

--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -128,10 +128,11 @@
 
     const relay = (hostIds: readonly string[], message: LinkMessage, accepts: (peer: Peer) => boolean): void => {
         const frame = encodeCompactFrame(message);
+        const shortValue = toWireValue(message);
         for (const hostId of hostIds) {
             const peer = peers.get(hostId);
             if (peer?.isOpen === true && accepts(peer)) {
-                peer.link?.sendFrame(frame, message);
+                peer.link?.sendFrame(peer.takesCompact ? encodeFrameWithHistory(shortValue, peer.history) : frame, message);
             }
         }
     };
--- a/packages/control/src/test/consensus-bytes_test.ts
+++ b/packages/control/src/test/consensus-bytes_test.ts
@@ -153,6 +153,18 @@
             },
         ],
     ];
+    it("take at most a quarter of the bytes of whole messages, for failures that are told one by one", () => {
+        const history = createFrameHistory();
+        const bytes = { whole: 0, short: 0 };
+        // Servers get numbers in the order in which they join: 160 of a start, and those that replaced some of them.
+        for (let number = 1; number <= 300; number += 1) {
+            const message: LinkMessage = { k: LinkMessageKind.RemoteOutcomes, r: [[number, 0, 1, number % 6]] };
+            bytes.whole += encodeCompactFrame(message).length;
+            bytes.short += encodeFrameWithHistory(toWireValue(message), history).length;
+        }
+        expect(bytes.short / bytes.whole).to.be.at.most(0.25);
+    });
+
     for (const [name, lengthMs, requestAt] of cases) {
         it(`take at most a quarter of the bytes of whole messages, ${name}`, () => {
             const { whole, short } = play(lengthMs, requestAt);
--- a/packages/core/src/lib/consensus/compact-messages.ts
+++ b/packages/core/src/lib/consensus/compact-messages.ts
@@ -10,7 +10,7 @@
 import { PeerMessageKind } from "./node-messages.js";
 import type { AppendMessage, AppendReplyMessage, PeerMessage } from "./node-messages.js";
 
-/** The first element of each form. Hosts of several versions run side by side, so a number keeps its meaning. */
+/** The first element of each form. Hosts of several versions run side by side, so a number keeps its meaning; 4 stands for outcomes. */
 enum CompactKind {
     Append = 0,
     AppendReply = 1,
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -9,6 +9,7 @@
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { EvidenceRow } from "../quarantine/request-evidence.js";
 import type { QuarantinedRequest } from "../quarantine/request-quarantine.js";
+import { fromCompactOutcomes, isCompactOutcomes, toCompactOutcomes } from "./compact-outcomes.js";
 import type { ConfigDelta, GatewayConfig } from "./gateway-config.js";
 import type { LimitShare } from "./limit-shares.js";
 import type { EntryPeer } from "./peer-selector.js";
@@ -121,7 +122,7 @@
     | { k: LinkMessageKind.PeerHello; hostId: string; }
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
     | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
-    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms of the consensus
+    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms
      * and frames with history. */
     | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; }
     | EntryHello
@@ -151,13 +152,21 @@
 export const isLinkMessage = (value: unknown): value is LinkMessage =>
     typeof value === "object" && value !== null && "k" in value && linkMessageKinds.has(value.k);
 
-/** What is sent for a message: short forms of the consensus, which are sent most often, are not wrapped. */
-export const toWireValue = (message: LinkMessage): unknown =>
-    message.k === LinkMessageKind.CompactConsensus ? message.m : message;
+/** What is sent for a message to a state host that understands short forms; the most frequent messages are not wrapped. */
+export const toWireValue = (message: LinkMessage): unknown => {
+    if (message.k === LinkMessageKind.RemoteOutcomes) {
+        return toCompactOutcomes(message.r);
+    }
+    return message.k === LinkMessageKind.CompactConsensus ? message.m : message;
+};
 
 /** The message that a decoded frame stands for. */
-export const fromWireValue = (value: unknown): unknown =>
-    Array.isArray(value) ? { k: LinkMessageKind.CompactConsensus, m: value as CompactMessage } : value;
+export const fromWireValue = (value: unknown): unknown => {
+    if (isCompactOutcomes(value)) {
+        return { k: LinkMessageKind.RemoteOutcomes, r: fromCompactOutcomes(value) };
+    }
+    return Array.isArray(value) ? { k: LinkMessageKind.CompactConsensus, m: value as CompactMessage } : value;
+};
 
 /** Encodes a server's record as a row. */
 export const toServerRow = (server: FleetServer): ServerRow => [
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -1,6 +1,7 @@
 /**
  * Encoding of frames: a big-endian length of four bytes, then one cbor-x value, which is deflated when the highest bit of the
- * length is set. If the next bit is set too, earlier values of the link are the dictionary.
+ * length is set. If the next bit is set too, earlier values of the link are the dictionary. A value of less than 32 bytes may
+ * have one byte before it in place of the four: its length plus 32, which no longer frame begins with.
  */
 import { Decoder, Encoder } from "cbor-x";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
@@ -46,6 +47,9 @@
 /** The fastest level; it compresses tables of routes and servers to a fifth of their size. */
 const deflateLevel = 1;
 
+/** The first byte of a frame with a short length is this and the length; `maxFrameBytes` keeps other frames from such a start. */
+const tinyBase = 0x20;
+const maxTinyBytes = 0x1f;
 /** The bit of the length that marks a value for which earlier values of the link are the dictionary. */
 const historyBit = 0x4000_0000;
 /** Shorter values gain little, in bytes. */
@@ -67,9 +71,15 @@
     return deflatedFrame(deflateRawSync(body, { level: deflateLevel }), deflatedBit);
 };
 
-/** Encodes one value as a frame for a link that has carried the values of `history`; values under `minHistoryBytes` are not deflated. */
+/**
+ * Encodes one value as the shortest frame for a link that has carried the values of `history`: short values have a short length,
+ * long ones are deflated. Earlier versions don't understand these frames.
+ */
 export const encodeFrameWithHistory = (value: unknown, history: FrameHistory): Buffer => {
     const body = encoder.encode(value);
+    if (body.length <= maxTinyBytes) {
+        return Buffer.concat([Buffer.of(tinyBase + body.length), body]);
+    }
     return body.length < minHistoryBytes ? encodeFrame(value) : deflatedFrame(history.deflate(body), deflatedBit + historyBit);
 };
 
@@ -102,20 +112,25 @@
     const push = (chunk: Uint8Array): FrameResult => {
         buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
         const values: unknown[] = [];
-        while (buffered.length >= lengthPrefixBytes) {
-            const length = buffered.readUInt32BE(0);
+        while (buffered.length > 0) {
+            const isTiny = buffered[0]! >= tinyBase && buffered[0]! <= tinyBase + maxTinyBytes;
+            const prefixBytes = isTiny ? 1 : lengthPrefixBytes;
+            if (buffered.length < prefixBytes) {
+                break;
+            }
+            const length = isTiny ? buffered[0]! - tinyBase : buffered.readUInt32BE(0);
             const isDeflated = length >= deflatedBit;
             const hasHistory = isDeflated && length - deflatedBit >= historyBit;
             const bytes = length - (isDeflated ? deflatedBit : 0) - (hasHistory ? historyBit : 0);
             if (bytes > limitBytes) {
                 return tooLargeResult(bytes, limitBytes);
             }
-            const frameEnd = lengthPrefixBytes + bytes;
+            const frameEnd = prefixBytes + bytes;
             if (buffered.length < frameEnd) {
                 break;
             }
             try {
-                const body = buffered.subarray(lengthPrefixBytes, frameEnd);
+                const body = buffered.subarray(prefixBytes, frameEnd);
                 values.push(decoder.decode(isDeflated ? inflate(body, hasHistory) : body));
             }
             catch {
--- a/packages/wire/src/test/frame-history_test.ts
+++ b/packages/wire/src/test/frame-history_test.ts
@@ -14,6 +14,7 @@
 describe("frames with history", () => {
     const sequences: [name: string, values: unknown[]][] = [
         ["short values only", [1, { k: "a" }, "b"]],
+        ["values around the longest with a short length", [28, 29, 30, 31, 32, 33].map(length => "a".repeat(length))],
         ["a document and its changes", [documentOf(300, "a"), documentOf(300, "b"), documentOf(300, "c")]],
         ["documents longer than the window", [documentOf(3000, "a"), documentOf(3000, "b"), documentOf(10, "c")]],
         ["short and long values in turns", [{ k: "a" }, documentOf(100, "a"), 5, documentOf(100, "b"), { k: "b" }]],
@@ -35,6 +36,10 @@
         }
     }
 
+    it("have one byte before a short value", () => {
+        expect(encodeFrameWithHistory([4, 137], createFrameHistory()).length).to.equal(5);
+    });
+
     it("may stand between frames without history", () => {
         const history = createFrameHistory();
         const values = [documentOf(100, "a"), documentOf(100, "b"), documentOf(100, "c")];
