--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -7,7 +7,9 @@
     concernsOtherZones,
     createLivenessMonitor,
     entryAddressesForCaller,
+    fromCompactMessage,
     fromLimitReportRow,
+    fromWireValue,
     HostPhase,
     HostRole,
     isLinkMessage,
@@ -24,17 +26,19 @@
     GatewayConfig,
     HostAnnouncement,
     LinkMessage,
-    StateReply,
+    PeerMessage,
 } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
-import { createLinkServer, encodeFrame, splitAddress } from "@cassiapick/wire";
+import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 import { createAckScheduler } from "./ack-scheduler.js";
+import { withCommitTimeout } from "./commit-outcome.js";
 import { ControlOutcome } from "./control-contract.js";
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
 import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
-import { createEntryPeersCache, stateContacts } from "./fleet-queries.js";
+import { countEntryHosts, createEntryPeersCache, stateContacts } from "./fleet-queries.js";
+import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createLinkWatch } from "./link-watch.js";
 import { createPeerLinks } from "./peer-links.js";
@@ -59,24 +63,17 @@
 const entryHostTimeoutMs = 2200;
 /** Interval between two ticks of the consensus node, in milliseconds. */
 const consensusTickMs = 50;
-/**
- * Timeout for committing an announcement, a leave notice or a publication, in milliseconds. The sender of an announcement tries
- * another host after one second.
- */
-const commitTimeoutMs = 900;
-
-const isRecorded = (reply: StateReply): boolean => reply.kind === StateReplyKind.Recorded;
-
 /** Starts a state host; the promise resolves once it listens. */
 export const startControlHost = async (options: ControlHostOptions): Promise<ControlHost> => {
     const { hostId, clock, wallClock, log } = options;
     const startedAt = wallClock();
     const { host, port } = splitAddress(hostId);
-    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock });
+    const traffic = createHostTraffic({ place: options, placeOfPeer: peerId => driver.fleet()?.host(peerId) });
+    const peerLinks = createPeerLinks({ hostId, localAddress: host, clock, onSent: traffic.sentToPeer });
     const entryLinks = createEntryLinks(options.availabilityZone, wallClock);
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
-    const scheduleAck = createAckScheduler();
+    const acks = createAckScheduler();
     const linkWatch = createLinkWatch();
     let latestConfig: GatewayConfig | undefined;
     let isStopping = false;
@@ -113,33 +110,26 @@
 
     const entryPeersOf = createEntryPeersCache();
 
-    const sendUpdates = (): void => {
+    const sendUpdates = (isPeriodic = false): void => {
         const fleet = driver.fleet();
         if (fleet === undefined || entryLinks.size() === 0) {
             return;
         }
-        const hosts = [...fleet.hosts()];
-        const entryHosts = hosts.filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
-        entryLinks.sendUpdates({
-            fleet,
-            config: refreshConfig(fleet),
-            contacts: stateContacts(fleet, driver.voters()),
-            entryHosts,
-            limitShares: limitRecorder.sharesOf(fleet),
-            entryPeers: entryPeersOf(fleet),
-            quarantined: fleet.quarantined(),
-        }, clock());
+        entryLinks.sendUpdates(
+            {
+                fleet,
+                config: refreshConfig(fleet),
+                contacts: stateContacts(fleet, driver.voters()),
+                entryHosts: countEntryHosts(fleet),
+                limitShares: limitRecorder.sharesOf(fleet),
+                entryPeers: entryPeersOf(fleet),
+                quarantined: fleet.quarantined(),
+            },
+            clock(),
+            isPeriodic,
+        );
     };
 
-    const withCommitTimeout = (reply: Promise<StateReply>): Promise<ControlOutcome> =>
-        new Promise(resolve => {
-            const timer = setTimeout(() => resolve(ControlOutcome.Unavailable), commitTimeoutMs);
-            void reply.then(finalReply => {
-                clearTimeout(timer);
-                resolve(isRecorded(finalReply) ? ControlOutcome.Done : ControlOutcome.Unavailable);
-            });
-        });
-
     const recordFacts = createFactBatcher(facts => driver.handleRequest({ kind: StateRequestKind.Facts, facts }));
     const limitRecorder = createLimitRecorder({ recordFacts, log });
     const quarantineRecorder = createQuarantineRecorder({ recordFacts, wallClock, log });
@@ -182,7 +172,16 @@
         recordEntryHost(entryLinks.addHost(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
         sendUpdates();
-        sendViewAge();
+        // The other hosts receive it with the next period: a message to each of them for each that attaches is n times n.
+        entryLinks.sendViewAge(sendableViewAgeMs(), link);
+    };
+
+    const receiveConsensus = (link: Link, message: PeerMessage | undefined): void => {
+        const from = peerIds.get(link);
+        if (from !== undefined && isPeerMessage(message)) {
+            driver.receive(from, message);
+            acks.schedule(link);
+        }
     };
 
     // The fields of messages have short names on the wire: `k` is the kind, `m` a consensus message, `r` rows of reports.
@@ -190,15 +189,12 @@
     const handlers: Handlers = {
         [LinkMessageKind.PeerHello]: (link, message) => {
             peerIds.set(link, message.hostId);
-            scheduleAck(link);
+            acks.greet(link);
         },
         [LinkMessageKind.RequestEvidence]: (link, { r }) => {
             entryLinks.relayEvidence(r, link);
             if (!peerIds.has(link)) {
-                peerLinks.relayEvidence(
-                    otherVoters(),
-                    encodeFrame({ k: LinkMessageKind.RequestEvidence, r } satisfies LinkMessage),
-                );
+                peerLinks.relayEvidence(otherVoters(), { k: LinkMessageKind.RequestEvidence, r });
             }
         },
         [LinkMessageKind.Quarantined]: (_link, { q }) => {
@@ -207,13 +203,8 @@
                 void quarantineRecorder.record(fleet, q);
             }
         },
-        [LinkMessageKind.Consensus]: (link, { m }) => {
-            const from = peerIds.get(link);
-            if (from !== undefined && isPeerMessage(m)) {
-                driver.receive(from, m);
-                scheduleAck(link);
-            }
-        },
+        [LinkMessageKind.Consensus]: (link, { m }) => receiveConsensus(link, m),
+        [LinkMessageKind.CompactConsensus]: (link, { m }) => receiveConsensus(link, fromCompactMessage(m)),
         [LinkMessageKind.ViewQuery]: link => link.send(viewAgeMessage(sendableViewAgeMs())),
         [LinkMessageKind.EntryHello]: attachEntryHost,
         [LinkMessageKind.Phase]: (link, { phase }) => recordEntryHost(entryLinks.setPhase(link, phase)),
@@ -235,23 +226,19 @@
     /** The age of the view that entry hosts can be sent; `Infinity` while there is none. */
     const sendableViewAgeMs = (): number => driver.fleet() === undefined ? Infinity : driver.viewAgeMs();
 
-    const sendViewAge = (): void => entryLinks.sendViewAge(sendableViewAgeMs());
-
     const otherVoters = (): string[] => driver.voters().filter(voter => voter !== hostId);
 
     const relayReports = (): void => {
         const outcomes = entryLinks.relayReports();
         if (outcomes.length > 0) {
-            peerLinks.relay(
-                otherVoters(),
-                encodeFrame({ k: LinkMessageKind.RemoteOutcomes, r: outcomes } satisfies LinkMessage),
-            );
+            peerLinks.relay(otherVoters(), { k: LinkMessageKind.RemoteOutcomes, r: outcomes });
         }
     };
 
     // A receive timeout of 0 disables it; links of silent entry hosts are closed below.
     const server = await createLinkServer({ host, port, receiveTimeoutMs: 0 }, {
-        onMessage: (link, message) => {
+        onMessage: (link, value) => {
+            const message = fromWireValue(value);
             if (!isLinkMessage(message)) {
                 log.log("peerRejected", { reason: "This version does not support the kind of the message." });
                 link.close();
@@ -261,6 +248,11 @@
             (handlers[message.k] as ((link: Link, message: LinkMessage) => void) | undefined)?.(link, message);
             linkWatch.received(link, entryLinks.hostOf(link)?.hostId, clock());
         },
+        onSent: (link, message, bytes) => {
+            const peerId = peerIds.get(link);
+            const place = peerId === undefined ? entryLinks.hostOf(link) : driver.fleet()?.host(peerId);
+            traffic.sentTo(place, message, bytes);
+        },
         onClose: (link, reason) => {
             peerIds.delete(link);
             const detachedHost = entryLinks.removeHost(link);
@@ -276,8 +268,8 @@
         setInterval(relayReports, relayIntervalMs),
         setInterval(() => {
             // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
-            sendUpdates();
-            sendViewAge();
+            sendUpdates(true);
+            entryLinks.sendViewAge(sendableViewAgeMs());
         }, viewAgeIntervalMs),
         setInterval(() => {
             sendUpdates();
@@ -343,6 +335,7 @@
             cassiapick_view_age_ms: Number.isFinite(driver.viewAgeMs()) ? driver.viewAgeMs() : -1,
             cassiapick_voters: driver.voters().length,
             cassiapick_configuration_number: latestConfig?.number ?? 0,
+            ...traffic.gauges(),
         }),
         stop: async () => {
             isStopping = true;
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -49,13 +49,16 @@
     setPhase(link: Link, phase: HostAnnouncement["state"]): HostAnnouncement | undefined;
     /** Removes the host of a closed link; returns it unless it is attached by another link. */
     removeHost(link: Link): HostAnnouncement | undefined;
-    /** Sends each host the differences between `snapshot` and what it has received. */
-    sendUpdates(snapshot: FleetSnapshot, now: number): void;
+    /**
+     * Sends each host the differences between `snapshot` and what it has received. Hosts of other availability zones that hold
+     * a configuration receive them in periodic calls only, as many small updates cost more bytes than a few.
+     */
+    sendUpdates(snapshot: FleetSnapshot, now: number, isPeriodic?: boolean): void;
     /**
      * Sends the upper bound of the view's age to the hosts that were sent the whole view. The others get a heartbeat, as what
-     * they hold may be older.
+     * they hold may be older. With `onlyTo`, nothing is sent to other links.
      */
-    sendViewAge(ageMs: number): void;
+    sendViewAge(ageMs: number, onlyTo?: Link): void;
     /** Queues reports of an attached host. */
     addReports(link: Link, rows: readonly ReportRow[]): void;
     /** Relays the queued reports to the other attached hosts; returns those with failures. */
@@ -77,6 +80,11 @@
     serversRevision: number;
     /** The contacts sent last, as JSON; "" before the first ones. */
     sentContacts: string;
+    /** The number of entry hosts sent last. */
+    sentEntryHosts: number;
+    contactsSentAt: number;
+    /** When the host was first told of a state host of its own availability zone; `undefined` before that. */
+    nearHostSince: number | undefined;
     /** The shares of limits sent last, as JSON; "" before the first ones. */
     sentShares: string;
     /** The list of peers sent last. */
@@ -90,6 +98,8 @@
     /** Whether servers and configuration were sent up to the latest snapshot. */
     isUpToDate: boolean;
     pendingReports: ReportRow[];
+    /** Whether other hosts were sent reports of this one. */
+    hasReported: boolean;
 }
 
 /** Recent configurations are retained, so that a host that reattaches needs only the difference. */
@@ -98,6 +108,12 @@
 /** Time for a host to move to a nearer state host, in milliseconds: a round trip, its next check and connection setup. */
 const moveTimeoutMs = 350;
 
+/** While only the number of entry hosts changes, hosts of other availability zones are sent it this often, in milliseconds. */
+const farCountIntervalMs = 2000;
+
+const namesHostOf = (contacts: readonly StateHostContact[], availabilityZone: string): boolean =>
+    contacts.some(contact => contact.availabilityZone === availabilityZone);
+
 /** Creates the message with the age of a view, in milliseconds; `Infinity` if no majority confirms it. */
 export const viewAgeMessage = (ageMs: number): LinkMessage => ({
     k: LinkMessageKind.ViewAge,
@@ -125,9 +141,42 @@
     };
 
     /** Whether a host will probably move to a state host of its own availability zone, so that further updates would be wasted. */
-    const isExpectedToMove = (attachedHost: AttachedHost, contacts: readonly StateHostContact[], now: number): boolean =>
-        now - attachedHost.attachedAt < moveTimeoutMs && attachedHost.host.availabilityZone !== availabilityZone
-        && contacts.some(contact => contact.availabilityZone === attachedHost.host.availabilityZone);
+    const isExpectedToMove = (attachedHost: AttachedHost, now: number): boolean => {
+        const { attachedAt, nearHostSince, configNumber, host } = attachedHost;
+        return host.availabilityZone !== availabilityZone && nearHostSince !== undefined
+            && now - (configNumber === 0 ? nearHostSince : attachedAt) < moveTimeoutMs;
+    };
+
+    /**
+     * Whether a host gets no update before the next periodic call. It is told at once of the first state host of its own
+     * availability zone, and receives its first configuration at once.
+     */
+    const isDeferred = (attachedHost: AttachedHost, snapshot: FleetSnapshot, now: number): boolean => {
+        const { host, sentContacts, nearHostSince, configNumber } = attachedHost;
+        const isNear = host.availabilityZone === availabilityZone;
+        const hasNewNearHost = nearHostSince === undefined && namesHostOf(snapshot.contacts, host.availabilityZone);
+        if (isNear || sentContacts === "" || hasNewNearHost) {
+            return false;
+        }
+        return configNumber > 0 || snapshot.config === undefined || isExpectedToMove(attachedHost, now);
+    };
+
+    const sendContacts = (link: Link, attachedHost: AttachedHost, snapshot: FleetSnapshot, text: string, now: number): void => {
+        const { contacts, entryHosts } = snapshot;
+        const isFar = attachedHost.host.availabilityZone !== availabilityZone;
+        const isCountDue = entryHosts !== attachedHost.sentEntryHosts
+            && (!isFar || now - attachedHost.contactsSentAt >= farCountIntervalMs);
+        if (text === attachedHost.sentContacts && !isCountDue) {
+            return;
+        }
+        attachedHost.contactsSentAt = now;
+        link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
+        attachedHost.sentContacts = text;
+        attachedHost.sentEntryHosts = entryHosts;
+        if (namesHostOf(contacts, attachedHost.host.availabilityZone)) {
+            attachedHost.nearHostSince ??= now;
+        }
+    };
 
     const sendLimitShares = (link: Link, attachedHost: AttachedHost, limitShares: LimitShares): void => {
         if (!attachedHost.takesLimits) {
@@ -165,19 +214,20 @@
         link.send({ k: LinkMessageKind.Quarantined, q } satisfies LinkMessage);
     };
 
-    const sendUpdates = (snapshot: FleetSnapshot, now: number): void => {
-        const { fleet, config, contacts, entryHosts, limitShares, entryPeers } = snapshot;
+    const sendUpdates = (snapshot: FleetSnapshot, now: number, isPeriodic = false): void => {
+        const { fleet, config, contacts, limitShares, entryPeers } = snapshot;
         if (config !== undefined) {
             retainConfig(config);
         }
-        const contactsText = JSON.stringify([contacts, entryHosts]);
+        const contactsText = JSON.stringify(contacts);
         const revision = fleet.serversRevision();
         for (const [link, attachedHost] of attachedHosts) {
-            if (contactsText !== attachedHost.sentContacts) {
-                link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
-                attachedHost.sentContacts = contactsText;
+            if (!isPeriodic && isDeferred(attachedHost, snapshot, now)) {
+                attachedHost.isUpToDate = false;
+                continue;
             }
-            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, contacts, now);
+            sendContacts(link, attachedHost, snapshot, contactsText, now);
+            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, now);
             if (!attachedHost.isUpToDate) {
                 continue;
             }
@@ -200,7 +250,7 @@
     const broadcast = (message: LinkMessage): void => {
         const frame = encodeCompactFrame(message);
         for (const link of attachedHosts.keys()) {
-            link.sendFrame(frame);
+            link.sendFrame(frame, message);
         }
     };
 
@@ -220,6 +270,7 @@
         const outcomes = reportingHosts.flatMap(attachedHost => attachedHost.pendingReports.filter(concernsOtherZones));
         for (const attachedHost of reportingHosts) {
             attachedHost.pendingReports = [];
+            attachedHost.hasReported = true;
         }
         return outcomes;
     };
@@ -237,6 +288,9 @@
                 configNumber,
                 serversRevision,
                 sentContacts: "",
+                sentEntryHosts: 0,
+                contactsSentAt: -Infinity,
+                nearHostSince: undefined,
                 sentShares: "",
                 sentPeers: [],
                 takesLimits: hello.takesLimits === true,
@@ -244,6 +298,7 @@
                 sentQuarantined: undefined,
                 isUpToDate: false,
                 pendingReports: [],
+                hasReported: false,
             });
             nextKey += 1;
             return host;
@@ -262,17 +317,24 @@
                 return undefined;
             }
             attachedHosts.delete(link);
-            broadcast({ k: LinkMessageKind.HostLeft, h: attachedHost.key });
+            if (attachedHost.hasReported) {
+                broadcast({ k: LinkMessageKind.HostLeft, h: attachedHost.key });
+            }
             // The host may already be attached again by a newer link.
             const isStillAttached = [...attachedHosts.values()].some(other => other.host.hostId === attachedHost.host.hostId);
             return isStillAttached ? undefined : attachedHost.host;
         },
         sendUpdates,
-        sendViewAge: ageMs => {
-            const viewAge = encodeCompactFrame(viewAgeMessage(ageMs));
-            const heartbeat = encodeCompactFrame({ k: LinkMessageKind.Heartbeat } satisfies LinkMessage);
+        sendViewAge: (ageMs, onlyTo) => {
+            const viewAge = viewAgeMessage(ageMs);
+            const viewAgeFrame = encodeCompactFrame(viewAge);
+            const heartbeat: LinkMessage = { k: LinkMessageKind.Heartbeat };
+            const heartbeatFrame = encodeCompactFrame(heartbeat);
             for (const [link, { isUpToDate }] of attachedHosts) {
-                link.sendFrame(isUpToDate ? viewAge : heartbeat);
+                if (onlyTo !== undefined && link !== onlyTo) {
+                    continue;
+                }
+                link.sendFrame(isUpToDate ? viewAgeFrame : heartbeatFrame, isUpToDate ? viewAge : heartbeat);
             }
         },
         addReports: (link, rows) => {
@@ -280,10 +342,11 @@
         },
         relayReports,
         relayEvidence: (rows, from) => {
-            const frame = encodeCompactFrame({ k: LinkMessageKind.RequestEvidence, r: [...rows] } satisfies LinkMessage);
+            const message: LinkMessage = { k: LinkMessageKind.RequestEvidence, r: [...rows] };
+            const frame = encodeCompactFrame(message);
             for (const [link, { takesEvidence }] of attachedHosts) {
                 if (takesEvidence && link !== from) {
-                    link.sendFrame(frame);
+                    link.sendFrame(frame, message);
                 }
             }
         },
--- a/packages/control/src/lib/fleet-queries.ts
+++ b/packages/control/src/lib/fleet-queries.ts
@@ -10,6 +10,10 @@
         .map(({ hostId: address, availabilityZone, region }) => ({ address, availabilityZone, region }));
 };
 
+/** Number of entry hosts that have not departed. */
+export const countEntryHosts = (fleet: FleetMachine): number =>
+    [...fleet.hosts()].filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
+
 /** Creates a function that returns the peers of all entry hosts; they are computed again only after a change to hosts. */
 export const createEntryPeersCache = (): (fleet: FleetMachine) => EntryPeers => {
     let latest: { fleet: FleetMachine; revision: number; peers: EntryPeers; } | undefined;
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -1,8 +1,8 @@
 /** Outgoing links for consensus messages between state hosts; a link is opened on demand. */
-import { isLinkMessage, LinkMessageKind } from "@cassiapick/core";
-import type { PeerMessage } from "@cassiapick/core";
-import { openLink, splitAddress } from "@cassiapick/wire";
-import type { Link } from "@cassiapick/wire";
+import { isLinkMessage, LinkMessageKind, toCompactMessage, toWireValue } from "@cassiapick/core";
+import type { LinkMessage, PeerMessage } from "@cassiapick/core";
+import { createFrameHistory, encodeCompactFrame, encodeFrameWithHistory, openLink, splitAddress } from "@cassiapick/wire";
+import type { FrameHistory, Link } from "@cassiapick/wire";
 
 /** Options of {@link createPeerLinks}. */
 export interface PeerLinksOptions {
@@ -12,15 +12,17 @@
     localAddress: string;
     /** Monotonic time in milliseconds. */
     clock: () => number;
+    /** Called for each message that is sent to the state host `to`, with its bytes on the wire. */
+    onSent?: (to: string, message: unknown, bytes: number) => void;
 }
 
 /** Links to other state hosts, by their ids, which are their addresses. */
 export interface PeerLinks {
     send(to: string, message: PeerMessage): void;
-    /** Sends an encoded frame to those of `hostIds` to which a link is open; for the others it is dropped. No acknowledgement is expected. */
-    relay(hostIds: readonly string[], frame: Uint8Array): void;
+    /** Sends a message to those of `hostIds` to which a link is open; for the others it is dropped. No acknowledgement is expected. */
+    relay(hostIds: readonly string[], message: LinkMessage): void;
     /** Like `relay`, to those that understand evidence about requests. */
-    relayEvidence(hostIds: readonly string[], frame: Uint8Array): void;
+    relayEvidence(hostIds: readonly string[], message: LinkMessage): void;
     /** Opens the missing links to `hostIds`, so that frames can be relayed. */
     keepOpen(hostIds: readonly string[]): void;
     close(): void;
@@ -43,6 +45,10 @@
     isOpen: boolean;
     /** Whether the peer understands evidence about requests; it says so in its acknowledgements. */
     takesEvidence: boolean;
+    /** Whether the peer understands short forms of the consensus and frames with history; it says so in its acknowledgements. */
+    takesCompact: boolean;
+    /** What the link has carried in frames with history. */
+    history: FrameHistory;
     /**
      * When the first consensus message was sent after the last message from the peer; `undefined` if none was sent since.
      * Any message from the peer clears it.
@@ -55,6 +61,18 @@
 /** Most messages that wait for a connection; older ones are dropped, and the consensus retries them. */
 const maxQueuedMessages = 32;
 
+/** Sends a message of the consensus in the shortest form that the peer understands. */
+const sendConsensus = (peer: Peer, link: Link, message: PeerMessage): void => {
+    const whole: LinkMessage = { k: LinkMessageKind.Consensus, m: message };
+    if (!peer.takesCompact) {
+        link.send(whole);
+        return;
+    }
+    const compact = toCompactMessage(message);
+    const shortest: LinkMessage = compact === undefined ? whole : { k: LinkMessageKind.CompactConsensus, m: compact };
+    link.sendFrame(encodeFrameWithHistory(toWireValue(shortest), peer.history), shortest);
+};
+
 /** Creates the outgoing links of one state host. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
     const peers = new Map<string, Peer>();
@@ -66,18 +84,24 @@
                 peer.isOpen = true;
                 opened.send({ k: LinkMessageKind.PeerHello, hostId: options.hostId });
                 for (const message of peer.queuedMessages.splice(0)) {
-                    opened.send({ k: LinkMessageKind.Consensus, m: message });
+                    sendConsensus(peer, opened, message);
                 }
             },
             onMessage: (_link, message) => {
                 peer.unacknowledgedSince = undefined;
-                peer.takesEvidence ||= isLinkMessage(message) && message.k === LinkMessageKind.Ack && message.e === true;
+                if (isLinkMessage(message) && message.k === LinkMessageKind.Ack) {
+                    peer.takesEvidence ||= message.e === true;
+                    peer.takesCompact ||= message.c === true;
+                }
             },
+            onSent: (_link, message, bytes) => options.onSent?.(to, message, bytes),
             onClose: closed => {
                 if (peer.link === closed) {
                     peer.link = undefined;
                     peer.isOpen = false;
                     peer.takesEvidence = false;
+                    peer.takesCompact = false;
+                    peer.history = createFrameHistory();
                     peer.unacknowledgedSince = undefined;
                     peer.reconnectAt = options.clock() + reconnectDelayMs;
                     peer.queuedMessages = [];
@@ -92,6 +116,8 @@
             link: undefined,
             isOpen: false,
             takesEvidence: false,
+            takesCompact: false,
+            history: createFrameHistory(),
             unacknowledgedSince: undefined,
             reconnectAt: 0,
             queuedMessages: [],
@@ -100,11 +126,13 @@
         return peer;
     };
 
-    const relay = (hostIds: readonly string[], frame: Uint8Array, accepts: (peer: Peer) => boolean): void => {
+    const relay = (hostIds: readonly string[], message: LinkMessage, accepts: (peer: Peer) => boolean): void => {
+        const frame = encodeCompactFrame(message);
+        const shortValue = toWireValue(message);
         for (const hostId of hostIds) {
             const peer = peers.get(hostId);
             if (peer?.isOpen === true && accepts(peer)) {
-                peer.link?.sendFrame(frame);
+                peer.link?.sendFrame(peer.takesCompact ? encodeFrameWithHistory(shortValue, peer.history) : frame, message);
             }
         }
     };
@@ -118,7 +146,7 @@
         }
         if (peer.isOpen && peer.link !== undefined) {
             peer.unacknowledgedSince ??= now;
-            peer.link.send({ k: LinkMessageKind.Consensus, m: message });
+            sendConsensus(peer, peer.link, message);
             return;
         }
         if (now < peer.reconnectAt) {
@@ -135,8 +163,8 @@
 
     return {
         send,
-        relay: (hostIds, frame) => relay(hostIds, frame, () => true),
-        relayEvidence: (hostIds, frame) => relay(hostIds, frame, ({ takesEvidence }) => takesEvidence),
+        relay: (hostIds, message) => relay(hostIds, message, () => true),
+        relayEvidence: (hostIds, message) => relay(hostIds, message, ({ takesEvidence }) => takesEvidence),
         keepOpen: hostIds => {
             for (const hostId of hostIds) {
                 const peer = obtainPeer(hostId);
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -4,10 +4,12 @@
  * Traffic between availability zones and regions is billed, so kinds are single letters, rows are arrays, and only changes
  * are sent.
  */
+import type { CompactMessage } from "../consensus/compact-messages.js";
 import type { PeerMessage } from "../consensus/node-messages.js";
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { EvidenceRow } from "../quarantine/request-evidence.js";
 import type { QuarantinedRequest } from "../quarantine/request-quarantine.js";
+import { fromCompactOutcomes, isCompactOutcomes, toCompactOutcomes } from "./compact-outcomes.js";
 import type { ConfigDelta, GatewayConfig } from "./gateway-config.js";
 import type { LimitShare } from "./limit-shares.js";
 import type { EntryPeer } from "./peer-selector.js";
@@ -20,6 +22,8 @@
     PeerHello = "P",
     /** A message of the consensus protocol. */
     Consensus = "C",
+    /** A message of the consensus protocol in its short form, to state hosts that say that they understand it. */
+    CompactConsensus = "c",
     /** Confirms that messages arrive, on links that otherwise carry messages in one direction only. */
     Ack = "R",
     /** First message of an entry host. */
@@ -117,8 +121,10 @@
 export type LinkMessage =
     | { k: LinkMessageKind.PeerHello; hostId: string; }
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
-    /** `e` is set if the sender understands evidence about requests. */
-    | { k: LinkMessageKind.Ack; e?: boolean; }
+    | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
+    /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms
+     * and frames with history. */
+    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; }
     | EntryHello
     | { k: LinkMessageKind.Heartbeat; }
     | { k: LinkMessageKind.Phase; phase: HostPhase; }
@@ -146,6 +152,22 @@
 export const isLinkMessage = (value: unknown): value is LinkMessage =>
     typeof value === "object" && value !== null && "k" in value && linkMessageKinds.has(value.k);
 
+/** What is sent for a message to a state host that understands short forms; the most frequent messages are not wrapped. */
+export const toWireValue = (message: LinkMessage): unknown => {
+    if (message.k === LinkMessageKind.RemoteOutcomes) {
+        return toCompactOutcomes(message.r);
+    }
+    return message.k === LinkMessageKind.CompactConsensus ? message.m : message;
+};
+
+/** The message that a decoded frame stands for. */
+export const fromWireValue = (value: unknown): unknown => {
+    if (isCompactOutcomes(value)) {
+        return { k: LinkMessageKind.RemoteOutcomes, r: fromCompactOutcomes(value) };
+    }
+    return Array.isArray(value) ? { k: LinkMessageKind.CompactConsensus, m: value as CompactMessage } : value;
+};
+
 /** Encodes a server's record as a row. */
 export const toServerRow = (server: FleetServer): ServerRow => [
     server.number,
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of a gateway whose entry hosts serve published configurations. */
 export * from "./attempt-planner.js";
+export * from "./compact-outcomes.js";
 export * from "./entry-addresses.js";
 export * from "./entry-peers.js";
 export * from "./failure-estimate.js";
@@ -8,6 +9,7 @@
 export * from "./host-retry-budget.js";
 export * from "./host-silence.js";
 export * from "./limit-shares.js";
+export * from "./link-traffic.js";
 export * from "./liveness-monitor.js";
 export * from "./nearest-state-host.js";
 export * from "./path-monitor.js";
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -276,6 +276,7 @@
                 ...requestQuarantine.gauges(),
                 cassiapick_answer_bytes_held: answerMemory.budget.held(),
                 cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
+                ...link.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
