Leave retries of failed requests in the budget that hedges share

An entry host may retry some 4 times in 10 s, and more than half of the repeats were hedges. Change: `tryTakeHedge` leaves as many retries as failures have lately asked for, averaged over three windows, and one standard deviation more, up to 0.8 of the budget. Where nothing fails at once, hedges have all of it.

--- a/packages/core/src/lib/gateway/host-retry-budget.ts
+++ b/packages/core/src/lib/gateway/host-retry-budget.ts
@@ -15,8 +15,13 @@
 export interface HostRetryBudget {
     /** Counts a caller's request to `service`. */
     recordRequest(service: string, now: number): void;
-    /** Takes one retry out of the budget; returns `false` if none is left. */
+    /** Takes one retry of a failed request out of the budget; returns `false` if none is left. */
     tryTake(service: string, now: number): boolean;
+    /**
+     * Takes one hedge out of the budget. A hedge helps one slow request in many, and a retry helps each failed one, so as many
+     * retries as the latest windows asked for are left and a few more, up to a bound.
+     */
+    tryTakeHedge(service: string, now: number): boolean;
     /** Sets the number of entry hosts that share the reserve. */
     setHostCount(count: number): void;
 }
@@ -31,9 +36,18 @@
     /** Number of the newest slice. */
     slice: number;
     requests: number[];
+    /** Retries and hedges that were sent. */
     retries: number[];
+    /** Retries of failed requests that were asked for, also in vain; decays exponentially. */
+    wanted: number;
+    wantedAt: number;
 }
 
+/** The retries that one window asks for are averaged over this many, as a host may get few requests in one. */
+const wantedWindows = 3;
+/** Hedges leave at most this fraction of the budget to retries. */
+const maxReservedFraction = 0.8;
+
 const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
 /** Creates the budget of one host in a fleet of `initialHostCount` entry hosts. */
@@ -42,10 +56,12 @@
     const sliceMs = bound.windowMs / (sliceCount - 1);
     let hostCount = Math.max(1, initialHostCount);
 
+    const emptySlices = (): number[] => Array<number>(sliceCount).fill(0);
+
     const currentWindow = (service: string, now: number): Window => {
         const slice = Math.floor(now / sliceMs);
         const window = windows.get(service)
-            ?? { slice, requests: Array<number>(sliceCount).fill(0), retries: Array<number>(sliceCount).fill(0) };
+            ?? { slice, requests: emptySlices(), retries: emptySlices(), wanted: 0, wantedAt: now };
         windows.set(service, window);
         for (let expired = Math.max(window.slice + 1, slice - sliceCount + 1); expired <= slice; expired += 1) {
             window.requests[expired % sliceCount] = 0;
@@ -55,6 +71,20 @@
         return window;
     };
 
+    const wantedAt = (window: Window, now: number): number =>
+        window.wanted * Math.exp(-Math.max(0, now - window.wantedAt) / (wantedWindows * bound.windowMs));
+
+    const limitOf = (window: Window): number => usableFraction * (bound.ratio * sum(window.requests) + bound.reserve / hostCount);
+
+    /** Takes one if it leaves at least `reserved` of the budget. */
+    const take = (window: Window, reserved: number): boolean => {
+        if (sum(window.retries) + 1 + reserved > limitOf(window)) {
+            return false;
+        }
+        window.retries[window.slice % sliceCount]! += 1;
+        return true;
+    };
+
     return {
         recordRequest: (service, now) => {
             const window = currentWindow(service, now);
@@ -62,12 +92,15 @@
         },
         tryTake: (service, now) => {
             const window = currentWindow(service, now);
-            const limit = usableFraction * (bound.ratio * sum(window.requests) + bound.reserve / hostCount);
-            if (sum(window.retries) + 1 > limit) {
-                return false;
-            }
-            window.retries[window.slice % sliceCount]! += 1;
-            return true;
+            window.wanted = wantedAt(window, now) + 1;
+            window.wantedAt = now;
+            return take(window, 0);
+        },
+        tryTakeHedge: (service, now) => {
+            const window = currentWindow(service, now);
+            // The next window may ask for one standard deviation more than one window usually does.
+            const wanted = wantedAt(window, now) / wantedWindows;
+            return take(window, Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limitOf(window)));
         },
         setHostCount: count => {
             // A partitioned host may receive too low a count; the highest count is the safe one.
--- a/packages/core/src/lib/gateway/request-attempts.ts
+++ b/packages/core/src/lib/gateway/request-attempts.ts
@@ -50,6 +50,8 @@
     deadlineAt: number;
     /** Takes one retry out of the retry budget; returns whether one was left. */
     tryTakeRetry: () => boolean;
+    /** Takes one hedge out of the retry budget, by default like a retry. */
+    tryTakeHedge?: () => boolean;
 }
 
 /** The attempts of one request. */
@@ -130,7 +132,7 @@
         tryHedge: now =>
             cfg.repeatability === Repeatability.Repeatable && openAttempts === 1
             && possibleRuns + openAttempts < cfg.maxServers
-            && attemptCount < maxAttempts && hasTimeLeft(now) && cfg.tryTakeRetry(),
+            && attemptCount < maxAttempts && hasTimeLeft(now) && (cfg.tryTakeHedge ?? cfg.tryTakeRetry)(),
         mayHaveRun: () => possibleRuns > 0,
         attemptCount: () => attemptCount,
     };
--- a/packages/core/src/test/host-retry-budget_test.ts
+++ b/packages/core/src/test/host-retry-budget_test.ts
@@ -34,6 +34,65 @@
         });
     }
 
+    /** Load: a host with a small budget, where some requests fail at once and others are slow. */
+    describe("shared by retries and hedges", () => {
+        const loads = [
+            { name: "a service that fails 15% of its requests and is slow in 10%", failing: 0.15, slow: 0.1 },
+            { name: "a service that fails 15% of its requests and is slow in 40%", failing: 0.15, slow: 0.4 },
+        ];
+        const play = (
+            failing: number,
+            slow: number,
+            isHedgeLikeRetry: boolean,
+        ): { denied: number; wanted: number; hedges: number; } => {
+            const random = createRandom(5);
+            const budget = createHostRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, 91);
+            const result = { denied: 0, wanted: 0, hedges: 0 };
+            for (let now = 0; now < 600_000; now += 10) {
+                if (random.next() >= 0.0125) {
+                    continue;
+                }
+                budget.recordRequest(service, now);
+                const kind = random.next();
+                if (kind < failing) {
+                    result.wanted += 1;
+                    result.denied += budget.tryTake(service, now) ? 0 : 1;
+                }
+                else if (kind < failing + slow) {
+                    const isTaken = isHedgeLikeRetry ? budget.tryTake(service, now) : budget.tryTakeHedge(service, now);
+                    result.hedges += isTaken ? 1 : 0;
+                }
+            }
+            return result;
+        };
+        for (const { name, failing, slow } of loads) {
+            it(`denies hedges rather than retries, at ${name}`, () => {
+                const alone = play(failing, 0, false);
+                const shared = play(failing, slow, false);
+                const naive = play(failing, slow, true);
+                expect(shared.denied / shared.wanted).to.be.below(naive.denied / naive.wanted);
+                expect(shared.denied / shared.wanted).to.be.at.most(alone.denied / alone.wanted + 0.1);
+            });
+        }
+
+        it("leaves the whole budget to hedges where no request fails at once", () => {
+            const budget = createHostRetryBudget(bound, 1);
+            let taken = 0;
+            while (budget.tryTakeHedge(service, 0)) {
+                taken += 1;
+            }
+            expect(taken).to.equal(Math.floor(0.93 * bound.reserve));
+        });
+
+        it("leaves a part of the budget to hedges", () => {
+            const budget = createHostRetryBudget(bound, 1);
+            for (let count = 0; count < 10; count += 1) {
+                budget.tryTake(service, 0);
+            }
+            expect(budget.tryTakeHedge(service, 0)).to.equal(true);
+        });
+    });
+
     it("does not grow when a lower host count is received", () => {
         const budget = createHostRetryBudget(bound, 40);
         budget.setHostCount(2);
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -107,6 +107,7 @@
         maxServers: route.maxServers,
         deadlineAt: req.deadlineAt,
         tryTakeRetry: () => dependencies.retryBudget.tryTake(service, clock()),
+        tryTakeHedge: () => dependencies.retryBudget.tryTakeHedge(service, clock()),
     });
     const attemptRequest: AttemptRequest = {
         requestId: req.requestId,
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -188,6 +188,11 @@
                 result.retryCount += isAllowed ? 1 : 0;
                 return isAllowed;
             },
+            tryTakeHedge: () => {
+                const isAllowed = host.retryBudget.tryTakeHedge(requestClass.service, timeline.now());
+                result.retryCount += isAllowed ? 1 : 0;
+                return isAllowed;
+            },
         });
         const attemptedServers = new Set<number>();
         const openAttempts: ((outcome: AttemptOutcome) => void)[] = [];
