--- a/packages/core/src/lib/gateway/selection-weights.ts
+++ b/packages/core/src/lib/gateway/selection-weights.ts
@@ -53,7 +53,7 @@
     slowStart: 0.12,
     silent: 0.3,
     jitter: 0.02,
-    nearEqual: 0.2,
+    nearEqual: 0.1,
     maxLimitedFailureProbability: 0.9,
     maxRequestsBeyondSlots: 9,
     failureEstimate: defaultFailureEstimateCfg,
