Give a server that has warmed up its first request at once, as before

Change: the first request to a warm server is not spread over hosts; probes of idle servers still are. Measured: gateway-hangs_test, recovery-probes_test, server-pool tests 52 passed; end-to-end_test 7 passed.

--- a/packages/core/src/lib/gateway/recovery-probes.ts
+++ b/packages/core/src/lib/gateway/recovery-probes.ts
@@ -21,8 +21,6 @@
     succeeded(): void;
     /** Whether a probe is due; in a service that fails many requests, the interval between probes is bounded. */
     isDue(history: ProbeHistory, isDegraded: boolean, now: number): boolean;
-    /** Whether this host may give a server its first request, `warmForMs` after its slow start. */
-    isFirstRequestDue(warmForMs: number): boolean;
 }
 
 /** Tunes {@link createRecoveryProbes}; times are in milliseconds. */
@@ -80,6 +78,5 @@
             const ownShareMs = share * cfg.spreadMs;
             return now - lastUsedAt > cfg.idleMs + ownShareMs && now - lastFailureAt > delayMs + ownShareMs;
         },
-        isFirstRequestDue: warmForMs => warmForMs >= share * cfg.spreadMs,
     };
 };
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -85,7 +85,7 @@
     const isNewlyWarm = (member: PoolMember): boolean => {
         const warmForMs = cfg.wallClock() - member.record.warmAt;
         return member.lastUsedAt === -Infinity && member.record.availabilityZone === availabilityZone && !member.record.silent
-            && member.probes.isFirstRequestDue(warmForMs) && warmForMs < newServerMs;
+            && warmForMs >= 0 && warmForMs < newServerMs;
     };
 
     const isWithinLimit = (member: PoolMember, now: number): boolean => cfg.limits?.maySend(member.record.number, now) ?? true;
