Keep the quotas of workspaces at entry hosts and state hosts

Cause: the quotas of workspaces were decoded and read by nothing.

Change: quota-gate holds a request of a workspace with a quota until its state host has granted a token, or refuses it with 429; a token of a request that was refused within 200 ms comes back. quota-host keeps and divides the quotas at state hosts. Four kinds of link messages (qa, qg, qd, qs), sent only to hosts that say that they understand them.

--- a/packages/control/src/lib/control-contract.ts
+++ b/packages/control/src/lib/control-contract.ts
@@ -1,5 +1,12 @@
 /** Interface and options of a running state host. */
-import type { GatewayConfig, PublishedConfiguration, Random, ServerAnnouncement, StateTiming } from "@cassiapick/core";
+import type {
+    GatewayConfig,
+    PublishedConfiguration,
+    QuotaBound,
+    Random,
+    ServerAnnouncement,
+    StateTiming,
+} from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import type { DataFolder } from "@cassiapick/state";
 
@@ -21,6 +28,8 @@
     /** Interval at which a server announces itself, in milliseconds. */
     heartbeatMs: number;
     timing: StateTiming;
+    /** How far requests of workspaces may exceed their quotas; by default, `defaultQuotaBound`. */
+    quotaBound?: QuotaBound;
     random: Random;
     /** Monotonic time in milliseconds. */
     clock: () => number;
--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -14,7 +14,6 @@
     HostRole,
     isLinkMessage,
     LinkMessageKind,
-    nearestStateHost,
     StateReplyKind,
     StateRequestKind,
     voterAbsenceTimeoutMs,
@@ -37,12 +36,13 @@
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
 import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
-import { countEntryHosts, createEntryPeersCache, stateContacts } from "./fleet-queries.js";
+import { countEntryHosts, createEntryPeersCache, nearestContact, stateContacts } from "./fleet-queries.js";
 import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createLinkWatch } from "./link-watch.js";
 import { createPeerLinks } from "./peer-links.js";
 import { createQuarantineRecorder } from "./quarantine-recorder.js";
+import { createQuotaHost } from "./quota-host.js";
 
 /**
  * Interval of the periodic work, in milliseconds: updates are sent to entry hosts, links of silent entry hosts are closed, and
@@ -104,10 +104,13 @@
         if (published !== undefined && published.number !== latestConfig?.number) {
             latestConfig = options.readDocument(published);
             log.log("configurationInForce", { number: published.number, routes: latestConfig.routes.length });
+            quotaHost.setConfig(latestConfig);
         }
         return latestConfig;
     };
 
+    const quotaHost = createQuotaHost({ ...options, startedAt, peerLinks, driver });
+
     const entryPeersOf = createEntryPeersCache();
 
     const sendUpdates = (isPeriodic = false): void => {
@@ -171,6 +174,7 @@
     const attachEntryHost = (link: Link, hello: EntryHello): void => {
         recordEntryHost(entryLinks.addHost(link, hello, clock()));
         log.log("hostChanged", { host: hello.hostId, change: "attached", phase: hello.phase });
+        quotaHost.hostAttached(link, hello);
         sendUpdates();
         // The other hosts receive it with the next period: a message to each of them for each that attaches is n times n.
         entryLinks.sendViewAge(sendableViewAgeMs(), link);
@@ -187,6 +191,7 @@
     // The fields of messages have short names on the wire: `k` is the kind, `m` a consensus message, `r` rows of reports.
     type Handlers = { [K in LinkMessageKind]?: (link: Link, message: Extract<LinkMessage, { k: K; }>) => void; };
     const handlers: Handlers = {
+        ...quotaHost.handlers(link => peerIds.get(link)),
         [LinkMessageKind.PeerHello]: (link, message) => {
             peerIds.set(link, message.hostId);
             acks.greet(link);
@@ -255,6 +260,7 @@
         },
         onClose: (link, reason) => {
             peerIds.delete(link);
+            quotaHost.linkClosed(link);
             const detachedHost = entryLinks.removeHost(link);
             linkWatch.closed(link, detachedHost?.hostId);
             if (detachedHost !== undefined) {
@@ -310,16 +316,7 @@
         },
         nearestHostId: availabilityZone => {
             const fleet = driver.fleet();
-            const ownContact = { address: hostId, availabilityZone: options.availabilityZone, region: options.region };
-            return fleet === undefined
-                ? hostId
-                : nearestStateHost(
-                    stateContacts(fleet, driver.voters()),
-                    ownContact,
-                    availabilityZone,
-                    options.regions[availabilityZone] ?? "",
-                )
-                    .address;
+            return fleet === undefined ? hostId : nearestContact(fleet, driver.voters(), options, availabilityZone).address;
         },
         entryAddresses: (availabilityZone, region) => {
             const fleet = driver.fleet();
@@ -342,6 +339,7 @@
             for (const timer of timers) {
                 clearInterval(timer);
             }
+            quotaHost.close();
             await driver.stop();
             await server.close();
             peerLinks.close();
--- a/packages/control/src/lib/fleet-queries.ts
+++ b/packages/control/src/lib/fleet-queries.ts
@@ -1,5 +1,5 @@
 /** What a state host derives from the replicated fleet view for its entry hosts. */
-import { computeEntryPeers, HostPhase, HostRole } from "@cassiapick/core";
+import { computeEntryPeers, HostPhase, HostRole, nearestStateHost } from "@cassiapick/core";
 import type { EntryPeers, FleetMachine, StateHostContact } from "@cassiapick/core";
 
 /** Addresses and locations of the voters, to which entry hosts connect. */
@@ -10,6 +10,25 @@
         .map(({ hostId: address, availabilityZone, region }) => ({ address, availabilityZone, region }));
 };
 
+/** A state host, and the regions of the availability zones that it knows. */
+export interface StateHostPlace {
+    hostId: string;
+    availabilityZone: string;
+    region: string;
+    regions: Readonly<Record<string, string>>;
+}
+
+/** The state host that is nearest to an availability zone, from the point of view of the state host at `own`. */
+export const nearestContact = (
+    fleet: FleetMachine,
+    voters: readonly string[],
+    own: StateHostPlace,
+    availabilityZone: string,
+): StateHostContact => {
+    const ownContact = { address: own.hostId, availabilityZone: own.availabilityZone, region: own.region };
+    return nearestStateHost(stateContacts(fleet, voters), ownContact, availabilityZone, own.regions[availabilityZone] ?? "");
+};
+
 /** Number of entry hosts that have not departed. */
 export const countEntryHosts = (fleet: FleetMachine): number =>
     [...fleet.hosts()].filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -23,6 +23,8 @@
     relay(hostIds: readonly string[], message: LinkMessage): void;
     /** Like `relay`, to those that understand evidence about requests. */
     relayEvidence(hostIds: readonly string[], message: LinkMessage): void;
+    /** Sends a message about quotas if a link is open and the peer understands it. */
+    sendQuotas(to: string, message: LinkMessage): void;
     /** Opens the missing links to `hostIds`, so that frames can be relayed. */
     keepOpen(hostIds: readonly string[]): void;
     close(): void;
@@ -49,6 +51,8 @@
     takesCompact: boolean;
     /** What the link has carried in frames with history. */
     history: FrameHistory;
+    /** Whether the peer understands quotas; it says so in its acknowledgements. */
+    takesQuotas: boolean;
     /**
      * When the first consensus message was sent after the last message from the peer; `undefined` if none was sent since.
      * Any message from the peer clears it.
@@ -92,6 +96,7 @@
                 if (isLinkMessage(message) && message.k === LinkMessageKind.Ack) {
                     peer.takesEvidence ||= message.e === true;
                     peer.takesCompact ||= message.c === true;
+                    peer.takesQuotas ||= message.q === true;
                 }
             },
             onSent: (_link, message, bytes) => options.onSent?.(to, message, bytes),
@@ -102,6 +107,7 @@
                     peer.takesEvidence = false;
                     peer.takesCompact = false;
                     peer.history = createFrameHistory();
+                    peer.takesQuotas = false;
                     peer.unacknowledgedSince = undefined;
                     peer.reconnectAt = options.clock() + reconnectDelayMs;
                     peer.queuedMessages = [];
@@ -118,6 +124,7 @@
             takesEvidence: false,
             takesCompact: false,
             history: createFrameHistory(),
+            takesQuotas: false,
             unacknowledgedSince: undefined,
             reconnectAt: 0,
             queuedMessages: [],
@@ -165,6 +172,12 @@
         send,
         relay: (hostIds, message) => relay(hostIds, message, () => true),
         relayEvidence: (hostIds, message) => relay(hostIds, message, ({ takesEvidence }) => takesEvidence),
+        sendQuotas: (to, message) => {
+            const peer = peers.get(to);
+            if (peer?.isOpen === true && peer.takesQuotas) {
+                peer.link?.send(message);
+            }
+        },
         keepOpen: hostIds => {
             for (const hostId of hostIds) {
                 const peer = obtainPeer(hostId);
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -9,6 +9,7 @@
 import type { FleetServer, HostPhase, ServingState } from "../fleet/facts.js";
 import type { EvidenceRow } from "../quarantine/request-evidence.js";
 import type { QuarantinedRequest } from "../quarantine/request-quarantine.js";
+import type { QuotaAskRow, QuotaDemand, QuotaGrantRow, QuotaShares } from "../workspace/quota-messages.js";
 import { fromCompactOutcomes, isCompactOutcomes, toCompactOutcomes } from "./compact-outcomes.js";
 import type { ConfigDelta, GatewayConfig } from "./gateway-config.js";
 import type { LimitShare } from "./limit-shares.js";
@@ -59,6 +60,14 @@
     RequestEvidence = "K",
     /** From a state host, all requests that are quarantined; from an entry host, changes to them. */
     Quarantined = "Z",
+    /** An entry host asks for tokens of workspaces. */
+    QuotaAsk = "qa",
+    /** Answers asks for tokens; the first one, without rows, shows that the state host understands asks. */
+    QuotaGrant = "qg",
+    /** A state host tells the leader what it needs of the quotas. */
+    QuotaDemand = "qd",
+    /** The leader tells a state host its shares of the quotas. */
+    QuotaShares = "qs",
 }
 
 /** A server's record without the fields that only state hosts use. */
@@ -116,6 +125,8 @@
     takesLimits?: boolean;
     /** Whether the host understands evidence about requests; earlier versions close a link that carries it. */
     takesEvidence?: boolean;
+    /** Whether the host understands tokens of workspaces; earlier versions close a link that carries them. */
+    takesQuotas?: boolean;
 }
 
 export type LinkMessage =
@@ -123,8 +134,8 @@
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
     | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
     /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms
-     * and frames with history. */
-    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; }
+     * and frames with history, `q` if it understands quotas. */
+    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; q?: boolean; }
     | EntryHello
     | { k: LinkMessageKind.Heartbeat; }
     | { k: LinkMessageKind.Phase; phase: HostPhase; }
@@ -144,7 +155,11 @@
     | { k: LinkMessageKind.LimitShares; r: LimitShareRow[]; }
     | { k: LinkMessageKind.Peers; p: PeerRow[]; }
     | { k: LinkMessageKind.RequestEvidence; r: EvidenceRow[]; }
-    | { k: LinkMessageKind.Quarantined; q: QuarantinedRow[]; };
+    | { k: LinkMessageKind.Quarantined; q: QuarantinedRow[]; }
+    | { k: LinkMessageKind.QuotaAsk; r: QuotaAskRow[]; }
+    | { k: LinkMessageKind.QuotaGrant; r: QuotaGrantRow[]; }
+    | { k: LinkMessageKind.QuotaDemand; m: QuotaDemand; }
+    | { k: LinkMessageKind.QuotaShares; m: QuotaShares; };
 
 const linkMessageKinds: ReadonlySet<unknown> = new Set(Object.values(LinkMessageKind));
 
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -7,6 +7,7 @@
     createRouteLatencyTracker,
     createServerLimits,
     createServerPool,
+    createSuspensionClock,
     fromLimitShareRow,
     fromPeerRow,
     fromServerRow,
@@ -23,6 +24,7 @@
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
 import { connectTcp } from "./http-call.js";
+import { createQuotaGate } from "./quota-gate.js";
 import { applyRemoteReports, applyZoneReports } from "./received-reports.js";
 import { runRequest } from "./request-runner.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
@@ -96,6 +98,12 @@
 
     const answerMemory = createAnswerMemory(options.memoryBytes, options.linkBytesPerMs);
     const answerWriter = createAnswerWriter({ budget: answerMemory.budget, linkBytesPerMs: options.linkBytesPerMs, clock });
+    const quotas = createQuotaGate({
+        clock: createSuspensionClock(clock, wallClock),
+        send: message => link.sendQuotaAsk(message),
+        metrics,
+        log,
+    });
 
     const attemptDependencies: ServerAttemptDependencies = {
         ...requestQuarantine,
@@ -124,7 +132,8 @@
         headerNames: options.headerNames,
         configInForce,
         run: req =>
-            answerMemory.refusal(req) ?? runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+            answerMemory.refusal(req)
+                ?? quotas.run(req, () => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random })),
         answerWriter,
         clock,
         log,
@@ -136,6 +145,7 @@
             return;
         }
         callerServer.setLimits(newConfig.limits);
+        quotas.setConfig(newConfig);
         log.log("configurationInForce", {
             number: newConfig.number,
             routes: newConfig.routes.length,
@@ -176,6 +186,7 @@
         },
         [LinkMessageKind.RequestEvidence]: ({ r }) => requestQuarantine.evidenceReceived(r),
         [LinkMessageKind.Quarantined]: ({ q }) => requestQuarantine.recordsReceived(q),
+        [LinkMessageKind.QuotaGrant]: ({ r }) => quotas.granted(r),
         [LinkMessageKind.Peers]: ({ p }) => peers.setPeers(p.map(fromPeerRow)),
         [LinkMessageKind.HostLeft]: message => pool.removeHostLoad(String(message.h)),
     };
@@ -204,12 +215,14 @@
             serversRevision,
             takesLimits: true,
             takesEvidence: true,
+            takesQuotas: true,
         }),
         receive: message => {
             // The key of a handler is the kind of its messages; the compiler can't infer this from the lookup.
             (handlers[message.k] as ((message: LinkMessage) => void) | undefined)?.(message);
             updatePhase();
         },
+        onQuotaLink: () => quotas.linkChanged(),
         onDetached: () => pool.removeAllHostLoads(),
         drainReports: () => pool.drainReports(clock()),
         drainLimitReports: () => limits.drainReports(link.viewAgeMs(), clock()),
@@ -256,6 +269,7 @@
             stopAccepting: () => callerServer.stopAccepting(),
             close: () => {
                 timers.forEach(timer => clearInterval(timer));
+                quotas.close();
                 link.close();
                 callerServer.close();
                 forwardServer.close();
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -29,6 +29,8 @@
     receive: (message: LinkMessage) => void;
     /** Called when the connection is lost; the load that other hosts reported no longer counts. */
     onDetached: () => void;
+    /** Called when a state host that understands asks for tokens is attached; asks to earlier ones are lost. */
+    onQuotaLink: () => void;
     /** Returns the reports collected since the last call. */
     drainReports: () => ServerReport[];
     /** Returns the limits of servers that the state hosts don't know yet. */
@@ -43,6 +45,8 @@
     sendPhase(phase: HostPhase): void;
     /** Sends a message about requests that may end servers, if the state host understands it. */
     sendEvidence(message: Extract<LinkMessage, { k: LinkMessageKind.RequestEvidence | LinkMessageKind.Quarantined; }>): void;
+    /** Sends an ask for tokens of workspaces; returns whether there is a state host that understands it. */
+    sendQuotaAsk(message: LinkMessage): boolean;
     /** Whether messages about requests reach the other entry hosts. */
     takesEvidence(): boolean;
     /** Sends collected reports immediately, so that other hosts avoid a server that has just failed. */
@@ -81,6 +85,8 @@
     let lastSentAt = 0;
     /** The link of a state host that understands messages about requests, which it shows by sending one. */
     let evidenceLink: Link | undefined;
+    /** The link of a state host that understands asks for tokens, which it shows by granting some or none. */
+    let quotaLink: Link | undefined;
     let isStale = true;
     const traffic = createLinkTraffic();
     let contacts: readonly StateHostContact[] = [];
@@ -150,6 +156,10 @@
         if (message.k === LinkMessageKind.Quarantined) {
             evidenceLink = link;
         }
+        if (message.k === LinkMessageKind.QuotaGrant && quotaLink !== link) {
+            quotaLink = link;
+            options.onQuotaLink();
+        }
         options.receive(message);
     };
 
@@ -253,6 +263,13 @@
                 send(message);
             }
         },
+        sendQuotaAsk: message => {
+            const isOpen = attachedLink !== undefined && attachedLink === quotaLink;
+            if (isOpen) {
+                send(message);
+            }
+            return isOpen;
+        },
         sendPhase: phase => send({ k: LinkMessageKind.Phase, phase }),
         close: () => {
             for (const timer of timers) {
--- a/packages/gateway/src/test/state-link_test.ts
+++ b/packages/gateway/src/test/state-link_test.ts
@@ -51,6 +51,7 @@
                 serversRevision: 0,
             }),
             receive: () => undefined,
+            onQuotaLink: () => undefined,
             onDetached: () => undefined,
             drainReports: () => [],
             drainLimitReports: () => [],
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -183,6 +183,15 @@
     ),
     requestCleared: info("CP3017", "A backend server has survived a quarantined request; it is served again."),
     quarantineRecorded: info("CP3018", "A change to the quarantined requests was committed."),
+    quotaSharesChanged: info("CP3030", "The parts of workspaces' quotas that this state host hands out have changed."),
+    quotaRefused: info(
+        "CP3031",
+        "A state host had no token of a workspace left for requests; logged once a second for each workspace.",
+    ),
+    quotaUsedUp: info(
+        "CP3032",
+        "A request was refused as its workspace has used up its quota; logged once a second for each workspace.",
+    ),
     hostChanged: info("CP5002", "Another entry host joined, left or changed its state."),
     internalFault: error(
         "CP5003",
