--- a/packages/core/src/lib/workspace/quota-bound.ts
+++ b/packages/core/src/lib/workspace/quota-bound.ts
@@ -26,7 +26,7 @@
 /** A token may come back this long after it was spent, for a request that was not sent; in milliseconds. */
 export const giveBackMs = 200;
 /** Part of the overage by which tokens are handed out faster than the rate, which makes up for tokens that are lost. */
-const rateShareOfOverage = 0.4;
+const rateShareOfOverage = 0.6;
 /** Part of the slack that is there at once when all state hosts have lost their shares. */
 const initialShareOfSlack = 0;
 
--- a/packages/core/src/lib/workspace/quota-division.ts
+++ b/packages/core/src/lib/workspace/quota-division.ts
@@ -44,6 +44,9 @@
 /** Shares are sent with this precision. */
 const shareSteps = 10_000;
 
+/** Messages of hosts are handled at once; what has ended is looked for at this interval, in milliseconds. */
+const minTickIntervalMs = 100;
+
 /** Shares are whole steps; what is a step but for the error of a computation stays one. */
 const roundDown = (share: number): number => Math.floor(share * shareSteps + 1e-6) / shareSteps;
 
@@ -90,6 +93,7 @@
     let leadingSince = 0;
     let voters: readonly string[] = [];
     let votersChangedAt = -Infinity;
+    let tickedAt = -Infinity;
 
     const isSettled = (now: number): boolean => {
         const waitMs = quotaLeaseMs + maxLeaderAgeMs;
@@ -332,6 +336,10 @@
             tellOthers(hostId, now);
         },
         tick: (viewAgeMs, now) => {
+            if (now - tickedAt < minTickIntervalMs) {
+                return;
+            }
+            tickedAt = now;
             for (const [hostId, { until }] of holders) {
                 if (now > until) {
                     holders.delete(hostId);
