Hold requests at the host while room is short, by priority and slack

Cause: requests were sent or refused first come first served; nothing read the priority, and up to nine requests beyond its slots waited in a server's own queue. Change: core/lib/admission decides which request is sent, waits or is refused; packages/gateway keeps the queue and wakes it when a request ends or a report arrives. While a server has a free slot, nothing waits.

--- a/packages/core/src/lib/gateway/server-pool-types.ts
+++ b/packages/core/src/lib/gateway/server-pool-types.ts
@@ -1,4 +1,5 @@
 /** Interfaces of the server pool of an entry host, and the reports that entry hosts send each other about servers. */
+import type { ServiceRoom } from "../admission/admission-request.js";
 import type { FleetServer } from "../fleet/facts.js";
 import type { Random } from "../random.js";
 import type { ServerObservation } from "./failure-estimate.js";
@@ -67,6 +68,8 @@
     readyServers(service: string | undefined, now: number): FleetServer[];
     /** Whether the servers of `service` that take requests of this host are known to have free slots in total. */
     hasFreeSlots(service: string, now: number): boolean;
+    /** Returns what is known of the room at the servers of `service` that may be sent requests and likely answer them. */
+    room(service: string, now: number): ServiceRoom;
     /** Records a request; with `survival`, a long wait for its answer is evidence against the server. */
     requestStarted(number: number, now: number, survival?: Survival): void;
     /**
--- a/packages/core/src/lib/gateway/server-pool.ts
+++ b/packages/core/src/lib/gateway/server-pool.ts
@@ -15,6 +15,7 @@
 import { defaultSelectionWeights } from "./selection-weights.js";
 import type { ServerChoice, ServerPool, ServerPoolCfg, ServerReport } from "./server-pool-types.js";
 import { createServiceDegradationTracker } from "./service-degradation-tracker.js";
+import { serviceRoom } from "./service-room.js";
 import { createUtilizationTracker } from "./utilization-tracker.js";
 import { hangEvidence } from "./wait-evidence.js";
 
@@ -202,6 +203,14 @@
             [...(service === undefined ? members.values() : membersByService.get(service) ?? [])]
                 .filter(member => isReady(member, now)).map(({ record }) => record),
         hasFreeSlots,
+        room: (service, now) =>
+            serviceRoom(
+                [...membersByService.get(service) ?? []].filter(member =>
+                    isReady(member, now) && isWithinLimit(member, now) && (cfg.isReachable?.(member.record) ?? true)
+                ),
+                availabilityZone,
+                member => failureProbabilityOf(member, now, weights.failureEstimate),
+            ),
         requestStarted: (number, now, survival) => {
             const member = members.get(number);
             if (member !== undefined) {
--- /dev/null
+++ b/packages/core/src/lib/gateway/service-room.ts
@@ -0,0 +1,37 @@
+/** Summarizes the room at the servers of a service, as far as an entry host knows it. */
+import type { ServiceRoom } from "../admission/admission-request.js";
+import type { PoolMember } from "./pool-member.js";
+
+/** A server that is likelier than this to be unhealthy is no room: it looks free because it fails requests early. */
+const maxFailureProbability = 0.5;
+
+/**
+ * Returns the room at `members`, which take requests. The load of other availability zones is unknown but for the requests of the
+ * own zone, so they are assumed to be as full as the own zone, at most with all slots in use.
+ */
+export const serviceRoom = (
+    members: readonly PoolMember[],
+    availabilityZone: string,
+    failureProbability: (member: PoolMember) => number,
+): ServiceRoom => {
+    const healthy = members.filter(member => failureProbability(member) <= maxFailureProbability);
+    const counted = healthy.length > 0 ? healthy : members;
+    const loadOf = ({ ownInFlight, otherHostsInFlight }: PoolMember): number => ownInFlight + otherHostsInFlight;
+    let slots = 0;
+    let ownZoneSlots = 0;
+    let ownZoneLoad = 0;
+    for (const member of counted) {
+        slots += member.record.slots;
+        if (member.record.availabilityZone === availabilityZone) {
+            ownZoneSlots += member.record.slots;
+            ownZoneLoad += loadOf(member);
+        }
+    }
+    const fullness = ownZoneSlots === 0 ? 0 : Math.min(1, ownZoneLoad / ownZoneSlots);
+    let excess = Infinity;
+    for (const member of counted) {
+        const assumedLoad = member.record.availabilityZone === availabilityZone ? 0 : fullness * member.record.slots;
+        excess = Math.min(excess, loadOf(member) + assumedLoad - member.record.slots);
+    }
+    return { slots, slotsPerServer: counted.length === 0 ? 0 : slots / counted.length, excess };
+};
--- /dev/null
+++ b/packages/core/src/test/admission-fleet.ts
@@ -0,0 +1,318 @@
+/** A fleet of entry hosts and servers in fake time, with admission or first come first served. */
+import {
+    AttemptOutcome,
+    createHostRetryBudget,
+    createRandom,
+    createRequestAttempts,
+    createServerPool,
+    createServiceAdmission,
+    createWorkEstimate,
+    RequestAction,
+    ServerObservation,
+    ServingState,
+} from "../index.js";
+import type {
+    AdmissionRequest,
+    FleetServer,
+    Random,
+    RequestAttempts,
+    ServerChoice,
+    ServerPool,
+    ServiceAdmission,
+} from "../index.js";
+import type { Caller, LoadPattern } from "./admission-load.js";
+import { drawCallers, placesPerServer, serverCount, slotsPerServer, warmUpMs } from "./admission-load.js";
+import { createFakeTimeline } from "./fake-timeline.js";
+
+export interface FleetPlay {
+    callers: Caller[];
+    /** Fraction of the slots in use while callers press. */
+    roomUsed: number;
+    /** Requests that waited at a host, and answers that came from a server after a refusal said that the request has not run. */
+    waited: number;
+    untrueRefusals: number;
+    /** Refusals and waits while the pool of the host had a server with a free slot. */
+    needless: number;
+}
+
+const hostCount = 18;
+const zones = ["z1", "z2", "z3"];
+const regions = { z1: "r1", z2: "r1", z3: "r2" };
+const service = "quotes";
+const reportIntervalMs = 100;
+const pollMs = 30;
+const networkMs = 2;
+
+interface Waiting extends AdmissionRequest {
+    proceed: () => void;
+    refuse: (retryAfterMs: number) => void;
+}
+
+interface Job {
+    workMs: number;
+    deadlineAt: number;
+    end: (outcome: AttemptOutcome) => void;
+    isOpen: boolean;
+    isRunning: boolean;
+}
+
+/** Plays a pattern; without admission, requests are sent or refused at once. */
+export const playFleet = (pattern: LoadPattern, seed: number, hasAdmission: boolean): FleetPlay => {
+    const timeline = createFakeTimeline();
+    const { now, after } = timeline;
+    const random = createRandom(seed);
+    const callers = drawCallers(pattern, createRandom(seed));
+    const pressMs = pattern.phases.filter(({ ratio }) => ratio > 1).map(({ untilMs }) => untilMs).at(-1) ?? 0;
+    const play: FleetPlay = { callers, roomUsed: 0, waited: 0, untrueRefusals: 0, needless: 0 };
+    let busyMs = 0;
+
+    const records = Array.from({ length: serverCount }, (_, index): FleetServer => ({
+        number: index + 1,
+        serverId: `s${index}`,
+        service,
+        address: `s${index}`,
+        availabilityZone: zones[index % zones.length]!,
+        slots: slotsPerServer,
+        state: ServingState.Ready,
+        bornAt: 0,
+        warmAt: -100_000,
+        silent: false,
+        keeper: "",
+        revision: index,
+    }));
+
+    const servers = records.map((_, index) => {
+        const running = new Set<Job>();
+        const queue: Job[] = [];
+        const state = () => ({ slowness: 1, declinesAll: false, resetProbability: 0, ...pattern.server?.(index, now()) });
+        const countBusy = (job: Job, startedAt: number): void => {
+            busyMs += Math.max(0, Math.min(now(), pressMs) - Math.max(startedAt, warmUpMs));
+            running.delete(job);
+        };
+        const startNext = (): void => {
+            while (running.size < slotsPerServer && queue.length > 0) {
+                const job = queue.shift()!;
+                if (!job.isOpen) {
+                    continue;
+                }
+                if (now() >= job.deadlineAt) {
+                    job.end(AttemptOutcome.Declined);
+                    continue;
+                }
+                const startedAt = now();
+                const { slowness, resetProbability } = state();
+                const isReset = random.next() < resetProbability;
+                job.isRunning = true;
+                running.add(job);
+                after(isReset ? networkMs : job.workMs * slowness, () => {
+                    countBusy(job, startedAt);
+                    job.end(isReset ? AttemptOutcome.Broken : AttemptOutcome.Answered);
+                    startNext();
+                });
+            }
+        };
+        return {
+            accept: (job: Job): void => {
+                if (state().declinesAll || queue.filter(({ isOpen }) => isOpen).length >= placesPerServer) {
+                    job.end(AttemptOutcome.Declined);
+                    return;
+                }
+                queue.push(job);
+                startNext();
+            },
+        };
+    });
+
+    const createHost = (index: number) => {
+        const availabilityZone = zones[index % zones.length]!;
+        const hostRandom = createRandom(seed * 1000 + index);
+        const pool: ServerPool = createServerPool({
+            locality: { availabilityZone, regions },
+            random: hostRandom,
+            wallClock: now,
+        });
+        pool.update(records);
+        const budget = createHostRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, hostCount);
+        const admission: ServiceAdmission<Waiting> = createServiceAdmission({
+            random: hostRandom,
+            work: createWorkEstimate(),
+            hostCount: () => hostCount,
+        });
+        let isPumping = false;
+        let isPollDue = false;
+        const pump = (): void => {
+            if (isPumping) {
+                return;
+            }
+            isPumping = true;
+            for (;;) {
+                const room = pool.room(service, now());
+                const decision = admission.next(room, now());
+                if (decision === undefined) {
+                    play.needless += admission.size() > 0 && room.excess < 0 ? 1 : 0;
+                    break;
+                }
+                if (decision.kind === "send") {
+                    play.waited += decision.waitedMs > 0 ? 1 : 0;
+                    decision.req.proceed();
+                }
+                else {
+                    play.needless += room.excess < 0 && decision.refusal !== "expired" ? 1 : 0;
+                    decision.req.refuse(decision.retryAfterMs);
+                }
+            }
+            isPumping = false;
+            if (admission.size() > 0 && !isPollDue) {
+                isPollDue = true;
+                after(pollMs * (0.5 + hostRandom.next()), () => {
+                    isPollDue = false;
+                    pump();
+                });
+            }
+        };
+
+        const serveRequest = (caller: Caller, isRefused: (retryAfterMs: number) => void): void => {
+            const { route, priority, objectiveMs } = {
+                route: caller.requestClass.name,
+                priority: caller.requestClass.priority,
+                objectiveMs: caller.requestClass.objectiveMs,
+            };
+            const { repeatability } = caller.requestClass;
+            const arrivedAt = now();
+            budget.recordRequest(service, arrivedAt);
+            const attempts: RequestAttempts = createRequestAttempts({
+                repeatability,
+                maxServers: 2,
+                deadlineAt: caller.deadlineAt,
+                tryTakeRetry: () => budget.tryTake(service, now()),
+            });
+            const tried = new Set<number>();
+            const waiting: Waiting = {
+                requestKey: caller.key,
+                route,
+                priority,
+                workspace: caller.workspace,
+                objectiveMs,
+                arrivedAt,
+                deadlineAt: caller.deadlineAt,
+                proceed: () => startAttempt(),
+                refuse: retryAfterMs => {
+                    if (!attempts.mayHaveRun()) {
+                        isRefused(retryAfterMs);
+                    }
+                },
+            };
+            const refuse = (): void => {
+                if (attempts.mayHaveRun()) {
+                    return;
+                }
+                const naiveMs = pool.hasFreeSlots(service, now()) ? 40 + 80 * random.next() : 150 + 250 * random.next();
+                isRefused((hasAdmission ? admission.retryAfterMs(waiting, now()) : undefined) ?? naiveMs);
+            };
+            const startAttempt = (): void => {
+                const choice = pool.choose(service, repeatability, tried, now());
+                if (choice === undefined || now() >= caller.deadlineAt) {
+                    refuse();
+                    return;
+                }
+                send(choice);
+            };
+            const send = (choice: ServerChoice): void => {
+                const startedAt = now();
+                const { number } = choice.server;
+                tried.add(number);
+                attempts.attemptStarted();
+                pool.requestStarted(number, startedAt);
+                let isEnded = false;
+                const job: Job = {
+                    workMs: caller.workMs,
+                    deadlineAt: caller.deadlineAt,
+                    isOpen: true,
+                    isRunning: false,
+                    end: outcome => after(networkMs, () => ended(outcome)),
+                };
+                const observations: Partial<Record<AttemptOutcome, ServerObservation>> = {
+                    [AttemptOutcome.Answered]: ServerObservation.Success,
+                    [AttemptOutcome.Declined]: ServerObservation.Declined,
+                    [AttemptOutcome.Broken]: ServerObservation.Failure,
+                };
+                const ended = (outcome: AttemptOutcome): void => {
+                    if (isEnded) {
+                        return;
+                    }
+                    isEnded = true;
+                    job.isOpen = false;
+                    pool.requestEnded(number, observations[outcome], now(), startedAt);
+                    if (hasAdmission && (outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.Declined)) {
+                        admission.attemptEnded({
+                            route,
+                            objectiveMs,
+                            elapsedMs: now() - startedAt,
+                            outcome: outcome === AttemptOutcome.Answered ? "answered" : "declined",
+                            wasQueued: choice.load >= choice.server.slots,
+                        }, now());
+                    }
+                    const action = attempts.attemptEnded(outcome, now());
+                    if (action === RequestAction.Deliver) {
+                        caller.servedAt ??= now();
+                    }
+                    else if (action === RequestAction.Retry) {
+                        if (hasAdmission) {
+                            admission.arrive(waiting, now());
+                        }
+                        else {
+                            startAttempt();
+                        }
+                    }
+                    else if (action === RequestAction.Refuse) {
+                        refuse();
+                    }
+                    pump();
+                };
+                after(networkMs, () => servers[number - 1]!.accept(job));
+                after(caller.deadlineAt - startedAt, () => ended(AttemptOutcome.TimedOut));
+            };
+            if (hasAdmission) {
+                admission.arrive(waiting, now());
+                pump();
+            }
+            else {
+                startAttempt();
+            }
+        };
+        return { availabilityZone, key: String(index), pool, pump, serveRequest };
+    };
+
+    const hosts = Array.from({ length: hostCount }, (_, index) => createHost(index));
+
+    const exchangeReports = (sender: (typeof hosts)[number]): void => {
+        const reports = sender.pool.drainReports(now());
+        for (const host of hosts) {
+            if (host !== sender && host.availabilityZone === sender.availabilityZone && reports.length > 0) {
+                after(30 + 120 * random.next(), () => {
+                    reports.forEach(report => host.pool.applyReport(sender.key, report, now()));
+                    host.pump();
+                });
+            }
+        }
+        after(reportIntervalMs, () => exchangeReports(sender));
+    };
+    hosts.forEach(host => after(reportIntervalMs * random.next(), () => exchangeReports(host)));
+
+    const callOnce = (caller: Caller, callerRandom: Random): void => {
+        const leftMs = caller.deadlineAt - now();
+        if (leftMs < caller.requestClass.workMs / 2 || caller.sends >= 40) {
+            return;
+        }
+        caller.sends += 1;
+        hosts[callerRandom.below(hostCount)]!.serveRequest(caller, retryAfterMs => {
+            const delayMs = caller.repeats ? 30 : Math.min(retryAfterMs, (caller.deadlineAt - now()) / 3);
+            after(delayMs, () => callOnce(caller, callerRandom));
+        });
+    };
+    callers.forEach(caller => after(caller.firstAt, () => callOnce(caller, random)));
+
+    timeline.run(Math.max(...callers.map(({ deadlineAt }) => deadlineAt)));
+    play.roomUsed = busyMs / (serverCount * slotsPerServer * Math.max(1, pressMs - warmUpMs));
+    return play;
+};
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -16,6 +16,7 @@
 } from "@cassiapick/core";
 import type { GatewayConfig, LinkMessage, PoolLocality, Random, RetryBound, RouteIndex, ServerRow } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
+import { createAdmissionQueue } from "./admission-queue.js";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
 import { createForwardServer } from "./forward-server.js";
@@ -122,6 +123,8 @@
     const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
+    let hostCount = initialHostCount;
+    const admission = createAdmissionQueue({ pool, random: options.random, clock, hostCount: () => hostCount, log, metrics });
     let config: GatewayConfig | undefined;
     let routes: RouteIndex = createRouteIndex([]);
     let serversRevision = 0;
@@ -185,7 +188,7 @@
         headerNames: options.headerNames,
         route,
         waitForNextConfig,
-        run: req => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random }),
+        run: req => runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, random: options.random }),
         clock,
         log,
         metrics,
@@ -228,8 +231,14 @@
             applyConfig(newConfig);
         },
         [LinkMessageKind.Servers]: message => applyServers(message.rows, message.revision),
-        [LinkMessageKind.Contacts]: message => retryBudget.setHostCount(message.entryHosts),
-        [LinkMessageKind.RelayedReports]: ({ h }) => applyZoneReports(pool, h, clock()),
+        [LinkMessageKind.Contacts]: message => {
+            retryBudget.setHostCount(message.entryHosts);
+            hostCount = message.entryHosts;
+        },
+        [LinkMessageKind.RelayedReports]: ({ h }) => {
+            applyZoneReports(pool, h, clock());
+            admission.roomChanged();
+        },
         [LinkMessageKind.RemoteOutcomes]: ({ r }) => applyRemoteReports(pool, r, clock()),
         [LinkMessageKind.LimitShares]: ({ r }) => {
             const shares = r.map(fromLimitShareRow);
@@ -334,6 +343,7 @@
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
                 ...requestQuarantine.gauges(),
+                ...admission.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -8,7 +8,17 @@
     Repeatability,
     RequestAction,
 } from "@cassiapick/core";
-import type { AttemptPlan, GatewayRoute, HostRetryBudget, PeerSelector, Random, RequestAttempts, Turn } from "@cassiapick/core";
+import type {
+    AdmittedEnd,
+    AttemptPlan,
+    GatewayRoute,
+    HostRetryBudget,
+    PeerSelector,
+    Random,
+    RequestAttempts,
+    Turn,
+} from "@cassiapick/core";
+import type { AdmissionQueue, QueuedRequest } from "./admission-queue.js";
 import { createAttemptTurns } from "./attempt-turn.js";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
 import { startForwardAttempt } from "./forward-attempt.js";
@@ -68,6 +78,8 @@
 /** Dependencies that all requests of a host share. */
 export interface RunnerDependencies extends ServerAttemptDependencies {
     retryBudget: HostRetryBudget;
+    /** Holds requests while room at the servers is short. */
+    admission: AdmissionQueue;
     /** The entry hosts that send requests to servers while this host has no path to them. */
     peers: PeerSelector;
     random: Random;
@@ -87,9 +99,15 @@
  */
 const retryAfterRanges = { free: { minMs: 40, jitterMs: 80 }, full: { minMs: 150, jitterMs: 250 } } as const;
 
+/** What the end of an attempt says about the room at its server. */
+const roomOutcomes: Partial<Record<AttemptOutcome, AdmittedEnd["outcome"]>> = {
+    [AttemptOutcome.Answered]: "answered",
+    [AttemptOutcome.Declined]: "declined",
+};
+
 /** Starts a request. */
 export const runRequest = (req: CallerRequest, dependencies: RunnerDependencies): RequestRun => {
-    const { clock, pool, quarantine } = dependencies;
+    const { admission, clock, pool, quarantine } = dependencies;
     const { route, requestKey } = req;
     const service = pickDestination(route.destinations, dependencies.random)?.service ?? "";
     dependencies.retryBudget.recordRequest(service, req.arrivedAt);
@@ -132,6 +150,7 @@
         for (const timer of timers) {
             clearTimeout(timer);
         }
+        admission.leave(queued);
         turns.cancel();
         for (const attempt of openAttempts) {
             attempt.cancel();
@@ -143,7 +162,8 @@
 
     const refuse = (reason: string): void => {
         const { minMs, jitterMs } = pool.hasFreeSlots(service, clock()) ? retryAfterRanges.free : retryAfterRanges.full;
-        conclude({ kind: ReplyKind.Refused, retryAfterMs: minMs + jitterMs * dependencies.random.next(), reason });
+        const retryAfterMs = admission.retryAfterMs(queued) ?? minMs + jitterMs * dependencies.random.next();
+        conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
     };
 
     const fail = (reason: string): void =>
@@ -193,7 +213,7 @@
                 return;
             }
             const plan = planNextAttempt();
-            if (plan.kind !== "none" && attempts.tryHedge(clock())) {
+            if (plan.kind !== "none" && admission.hasRoomForHedges(service) && attempts.tryHedge(clock())) {
                 turns.take(turn => startAttempt(plan, turn), () => undefined);
             }
         });
@@ -218,6 +238,7 @@
 
     const startAttempt = (plan: StartablePlan, turn: Turn): void => {
         attempts.attemptStarted();
+        const startedAt = clock();
         // The starter is looked up by the kind of the plan, which the compiler can't follow.
         const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
         openAttempts.add(attempt);
@@ -225,6 +246,7 @@
             scheduleHedge(attempt);
         }
         void attempt.hasServerEnded.then(() => turns.end(turn));
+        void attempt.result.then(result => admission.attemptEnded(service, admittedEndOf(plan, result, startedAt)));
         void attempt.result.then(async result => {
             if (result.server !== undefined) {
                 triedServerNumbers.add(result.server.number);
@@ -250,7 +272,52 @@
         });
     };
 
-    const tryNextServer = (): void => turns.take(startNextAttempt, deny);
+    /** Starts the next attempt after the wait for room; what changed meanwhile is checked here. */
+    const admitted = (): void => {
+        if (!isConcluded) {
+            turns.take(startNextAttempt, deny);
+        }
+    };
+
+    const queued: QueuedRequest = {
+        requestId: req.requestId,
+        requestKey,
+        service,
+        route: route.name,
+        priority: req.priority,
+        workspace: req.workspace,
+        objectiveMs: route.latencyObjectiveMs,
+        arrivedAt: req.arrivedAt,
+        deadlineAt: req.deadlineAt,
+        proceed: admitted,
+        refuse: (reason, retryAfterMs) => {
+            if (mayHaveRun()) {
+                fail(reason);
+                return;
+            }
+            conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
+        },
+    };
+
+    /** While the path to the servers is lost, other hosts send the request, so the room that this host sees does not count. */
+    const tryNextServer = (): void => {
+        if (dependencies.path.isServiceLost(service)) {
+            admitted();
+            return;
+        }
+        admission.enter(queued);
+    };
+
+    const admittedEndOf = (plan: StartablePlan, { outcome }: AttemptResult, startedAt: number): AdmittedEnd | undefined => {
+        const roomOutcome = roomOutcomes[outcome];
+        return plan.kind !== "direct" || roomOutcome === undefined ? undefined : {
+            route: route.name,
+            objectiveMs: route.latencyObjectiveMs,
+            elapsedMs: clock() - startedAt,
+            outcome: roomOutcome,
+            wasQueued: plan.choice.load >= plan.choice.server.slots,
+        };
+    };
 
     const startNextAttempt = (turn: Turn): void => {
         const plan = planNextAttempt();
--- a/packages/gateway/src/test/request-runner_test.ts
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -12,7 +12,7 @@
 import { connectTcp } from "../lib/http-call.js";
 import type { Connect } from "../lib/http-call.js";
 import { ReplyKind, runRequest } from "../lib/request-runner.js";
-import { createLoneHost, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import { createLoneHost, createTestAdmission, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
 
 const timeoutMs = 120;
 
@@ -77,6 +77,7 @@
                 connectServer,
                 clock: testClock,
                 ...createLoneHost(),
+                admission: createTestAdmission(pool),
                 retryBudget: createHostRetryBudget({ ratio: 0.2, reserve: 10, windowMs: 10_000 }, 1),
                 peers: createPeerSelector(locality, random),
                 random,
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -1,6 +1,8 @@
 /** What several tests of the gateway use. */
 import { createRandom, createRequestQuarantine, createRouteLatencyTracker, ServingState } from "@cassiapick/core";
-import type { FleetServer, PathMonitor, RequestQuarantine } from "@cassiapick/core";
+import type { FleetServer, PathMonitor, RequestQuarantine, ServerPool } from "@cassiapick/core";
+import { createAdmissionQueue } from "../lib/admission-queue.js";
+import type { AdmissionQueue } from "../lib/admission-queue.js";
 import type { ServerEndCheck } from "../lib/server-end-check.js";
 
 export const testHeaderNames = {
@@ -50,6 +52,17 @@
     viewAgeMs: () => 0,
 });
 
+/** The admission of a host that is alone. */
+export const createTestAdmission = (pool: Pick<ServerPool, "room">): AdmissionQueue =>
+    createAdmissionQueue({
+        pool,
+        random: createRandom(1),
+        clock: testClock,
+        hostCount: () => 1,
+        log: { log: () => undefined },
+        metrics: { increment: () => undefined, observe: () => undefined },
+    });
+
 /** The only server of service "quotes", without an address. */
 export const testServer: FleetServer = {
     number: 1,
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -146,6 +146,16 @@
         "CP4008",
         "A request of another entry host was turned away before it was sent to a server; the reason says why.",
     ),
+    roomShort: warn(
+        "CP4020",
+        "The servers of a service have less room than requests need; requests wait on this host by priority and slack.",
+        "Start more backend servers of the service, or find out why its servers are slow or decline requests.",
+    ),
+    roomRegained: info("CP4021", "The servers of a service have free slots again; requests are sent at once."),
+    requestTurnedAway: info(
+        "CP4022",
+        "A request was refused while room was short, before it was sent to a server; the fields show what decided it.",
+    ),
     callerLeft: info("CP4006", "The caller disconnected before its answer; the open attempts of its request are cancelled."),
     serverUpdated: info("CP3006", "The record of a backend server has changed."),
     serverSuspected: info("CP3007", "A backend server is suspected, because requests to it fail; it is avoided."),
