--- a/packages/core/src/lib/admission/server-places.ts
+++ b/packages/core/src/lib/admission/server-places.ts
@@ -42,12 +42,16 @@
 const decrease = 0.25;
 const increase = 0.1;
 const declineWeight = 2;
+const placesIncrease = 0.03;
+const placesDecreaseFactor = 0.7;
 /** Free slots for this long end the shortage. */
 const calmMs = 1000;
 
 /** Creates the places of a service that is not short of room. */
 export const createServerPlaces = (): ServerPlaces => {
     let isShort = false;
+    /** Places that servers are known to have: fewer after each decline, and slowly more while none declines. */
+    let acceptedPlaces: number = urgentPlaces.max;
     /** Adjustment of the places of the less urgent by what requests met. */
     let adjustment = 0;
     let freeSince: number | undefined;
@@ -60,6 +64,7 @@
 
     return {
         recordWait: (waitMs, bearableMs) => {
+            acceptedPlaces = Math.min(urgentPlaces.max, acceptedPlaces + placesIncrease);
             if (waitMs > tolerableFraction * bearableMs) {
                 shrink(decrease);
             }
@@ -67,7 +72,10 @@
                 adjustment = Math.min(maxLessUrgentPlaces, adjustment + increase);
             }
         },
-        recordDecline: () => shrink(decrease * declineWeight),
+        recordDecline: () => {
+            acceptedPlaces = Math.max(urgentPlaces.min, acceptedPlaces * placesDecreaseFactor);
+            shrink(decrease * declineWeight);
+        },
         recordRoom: (excess, now) => {
             if (excess >= 0) {
                 freeSince = undefined;
@@ -87,7 +95,7 @@
             }
             const pacing = slotsPerServer * knowledgeDelayMs / Math.max(1, workMs);
             const urgent = Math.min(
-                urgentPlaces.max,
+                acceptedPlaces,
                 Math.max(urgentPlaces.min, pacing, slotsPerServer * bearableMs / Math.max(1, workMs)),
             );
             if (rank === 0) {
--- a/packages/core/src/lib/admission/service-admission.ts
+++ b/packages/core/src/lib/admission/service-admission.ts
@@ -6,6 +6,7 @@
 import type { Random } from "../random.js";
 import { AdmissionRefusal } from "./admission-request.js";
 import type { AdmissionDecision, AdmissionRequest, ServiceRoom } from "./admission-request.js";
+import { createCallerAges } from "./caller-ages.js";
 import { createRepeatGuard } from "./repeat-guard.js";
 import { createReturnTimes } from "./return-times.js";
 import { createServerPlaces } from "./server-places.js";
@@ -59,7 +60,13 @@
 /** Time constant of the measured rate of service. */
 const rateMs = 2000;
 /** Only what is unservable at this many times the expected room is refused before its time. */
-const optimism = 1.3;
+const optimism = 2;
+
+interface WaitingSince {
+    since: number;
+    /** Estimated time of the caller's first attempt. */
+    firstSentAt: number;
+}
 
 interface PriorityState {
     lastSeenAt: number;
@@ -69,7 +76,8 @@
 /** Creates the admission of a service without requests. */
 export const createServiceAdmission = <T extends AdmissionRequest>(cfg: ServiceAdmissionCfg): ServiceAdmission<T> => {
     const { work } = cfg;
-    const waiting = new Map<T, number>();
+    const waiting = new Map<T, WaitingSince>();
+    const callerAges = createCallerAges();
     const places = createServerPlaces();
     const floors = createServiceFloors();
     const returnTimes = createReturnTimes(cfg.random);
@@ -113,8 +121,10 @@
         Math.max(slots / Math.max(1, cfg.hostCount()), recordSentWork(0, now), 0.01);
 
     const standings = (now: number): Standing<T>[] =>
-        [...waiting.keys()]
-            .map(req => standingOf(req, work, groupsOf(req).some(group => floors.isBelow(group, now))))
+        [...waiting]
+            .map(([req, { firstSentAt }]) =>
+                standingOf(req, firstSentAt, work, groupsOf(req).some(group => floors.isBelow(group, now)))
+            )
             .sort((a, b) => compareStandings(a, b, now));
 
     const retryAfterMs = (req: AdmissionRequest, now: number): number => {
@@ -126,7 +136,7 @@
     };
 
     const refuse = (req: T, refusal: AdmissionRefusal, now: number, remainingMs?: number): AdmissionDecision<T> => {
-        const waitedMs = now - (waiting.get(req) ?? now);
+        const waitedMs = now - (waiting.get(req)?.since ?? now);
         waiting.delete(req);
         const delayMs = remainingMs ?? retryAfterMs(req, now);
         guard.recordRefusal(req.requestKey, delayMs, now);
@@ -134,7 +144,7 @@
     };
 
     const send = (req: T, now: number): AdmissionDecision<T> => {
-        const waitedMs = now - (waiting.get(req) ?? now);
+        const waitedMs = now - (waiting.get(req)?.since ?? now);
         waiting.delete(req);
         groupsOf(req).forEach(group => floors.recordSend(group, now));
         recordSentWork(work.workMs(req.route, req.objectiveMs), now);
@@ -149,9 +159,17 @@
             slotsPerServer: room.slotsPerServer,
         });
 
+    const addWaiting = (req: T, now: number): void => {
+        const ageMs = callerAges.ageMs(req.route, req.deadlineAt - req.arrivedAt);
+        waiting.set(req, { since: now, firstSentAt: req.arrivedAt - ageMs });
+    };
+
     return {
         arrive: (req, now) => {
-            const { priority, objectiveMs, route } = req;
+            const { priority, objectiveMs, route, arrivedAt, deadlineAt } = req;
+            if (!places.isShort()) {
+                callerAges.record(route, deadlineAt - arrivedAt);
+            }
             groupsOf(req).forEach(group => floors.recordArrival(group, now));
             const bearable = bearableFraction * Math.max(0, objectiveMs - work.workMs(route, objectiveMs));
             priorities.set(priority, { lastSeenAt: now, bearableMs: bearable });
@@ -160,7 +178,7 @@
                 early.push({ req, remainingMs });
                 return;
             }
-            waiting.set(req, now);
+            addWaiting(req, now);
         },
         next: (room, now) => {
             hasFreeSlot = room.slots === 0 || room.excess < 0;
@@ -171,19 +189,19 @@
                 return refuse(repeated.req, AdmissionRefusal.RepeatedTooEarly, now, repeated.remainingMs);
             }
             if (repeated !== undefined) {
-                waiting.set(repeated.req, now);
+                addWaiting(repeated.req, now);
             }
             const [oldest] = waiting.keys();
             if (oldest === undefined) {
                 return undefined;
             }
             // While room is not short nothing has to be compared.
-            if (hasFreeSlot || !places.isShort()) {
+            if (!places.isShort() || (hasFreeSlot && waiting.size === 1)) {
                 return send(oldest, now);
             }
             const ordered = standings(now);
             const [first] = ordered;
-            if (first !== undefined && now <= first.deadlineStartBy && mayBeSent(first, room, now)) {
+            if (first !== undefined && (hasFreeSlot || (now <= first.deadlineStartBy && mayBeSent(first, room, now)))) {
                 return send(first.req, now);
             }
             const [unservable] = findUnservable(ordered, optimism * expectedSlots(room.slots, now), now);
--- a/packages/core/src/lib/admission/waiting-order.ts
+++ b/packages/core/src/lib/admission/waiting-order.ts
@@ -16,18 +16,23 @@
 /** The objective leaves at least this fraction of itself for waiting, also where answers usually take longer. */
 const minWaitFraction = 0.2;
 /** Part of the usual variation of answer times that is kept free before the deadline. */
-const deadlineMargin = 0.5;
+const deadlineMargin = 0;
 
-/** Computes where a request stands. */
-export const standingOf = <T extends AdmissionRequest>(req: T, work: WorkEstimate, isBelowFloor: boolean): Standing<T> => {
-    const { route, objectiveMs, arrivedAt, deadlineAt } = req;
+/** Computes where a request stands whose caller first sent it at `firstSentAt`. */
+export const standingOf = <T extends AdmissionRequest>(
+    req: T,
+    firstSentAt: number,
+    work: WorkEstimate,
+    isBelowFloor: boolean,
+): Standing<T> => {
+    const { route, objectiveMs, deadlineAt } = req;
     const workMs = work.workMs(route, objectiveMs);
     const answerMs = work.answerMs(route, objectiveMs);
     return {
         req,
         isBelowFloor,
         workMs,
-        objectiveStartBy: arrivedAt + Math.max(objectiveMs - answerMs, minWaitFraction * objectiveMs),
+        objectiveStartBy: firstSentAt + Math.max(objectiveMs - answerMs, minWaitFraction * objectiveMs),
         deadlineStartBy: deadlineAt - workMs - deadlineMargin * Math.max(0, answerMs - workMs),
     };
 };
--- a/packages/core/src/test/admission-fleet.ts
+++ b/packages/core/src/test/admission-fleet.ts
@@ -1,5 +1,6 @@
 /** A fleet of entry hosts and servers in fake time, with admission or first come first served. */
 import {
+    AdmissionRefusal,
     AttemptOutcome,
     createHostRetryBudget,
     createRandom,
@@ -28,8 +29,9 @@
     callers: Caller[];
     /** Fraction of the slots in use while callers press. */
     roomUsed: number;
-    /** Requests that waited at a host, and answers that came from a server after a refusal said that the request has not run. */
+    /** Requests that waited at a host. */
     waited: number;
+    /** Refusals of requests that a server had run or still had. */
     untrueRefusals: number;
     /** Refusals and waits while the pool of the host had a server with a free slot. */
     needless: number;
@@ -53,13 +55,13 @@
     deadlineAt: number;
     end: (outcome: AttemptOutcome) => void;
     isOpen: boolean;
-    isRunning: boolean;
 }
 
 /** Plays a pattern; without admission, requests are sent or refused at once. */
 export const playFleet = (pattern: LoadPattern, seed: number, hasAdmission: boolean): FleetPlay => {
     const timeline = createFakeTimeline();
-    const { now, after } = timeline;
+    const now = (): number => timeline.now();
+    const after = (delayMs: number, callback: () => void): void => timeline.after(delayMs, callback);
     const random = createRandom(seed);
     const callers = drawCallers(pattern, createRandom(seed));
     const pressMs = pattern.phases.filter(({ ratio }) => ratio > 1).map(({ untilMs }) => untilMs).at(-1) ?? 0;
@@ -102,7 +104,6 @@
                 const startedAt = now();
                 const { slowness, resetProbability } = state();
                 const isReset = random.next() < resetProbability;
-                job.isRunning = true;
                 running.add(job);
                 after(isReset ? networkMs : job.workMs * slowness, () => {
                     countBusy(job, startedAt);
@@ -123,6 +124,23 @@
         };
     });
 
+    /** Slot time of the servers that run requests, while callers press. */
+    const roomMs = (): number => {
+        let total = 0;
+        for (let at = warmUpMs; at < pressMs; at += reportIntervalMs) {
+            const running = records.filter((_, index) => {
+                const { declinesAll, resetProbability } = {
+                    declinesAll: false,
+                    resetProbability: 0,
+                    ...pattern.server?.(index, at),
+                };
+                return !declinesAll && resetProbability === 0;
+            });
+            total += running.length * slotsPerServer * reportIntervalMs;
+        }
+        return total;
+    };
+
     const createHost = (index: number) => {
         const availabilityZone = zones[index % zones.length]!;
         const hostRandom = createRandom(seed * 1000 + index);
@@ -157,7 +175,7 @@
                     decision.req.proceed();
                 }
                 else {
-                    play.needless += room.excess < 0 && decision.refusal !== "expired" ? 1 : 0;
+                    play.needless += room.excess < 0 && decision.refusal !== AdmissionRefusal.Expired ? 1 : 0;
                     decision.req.refuse(decision.retryAfterMs);
                 }
             }
@@ -171,13 +189,8 @@
             }
         };
 
-        const serveRequest = (caller: Caller, isRefused: (retryAfterMs: number) => void): void => {
-            const { route, priority, objectiveMs } = {
-                route: caller.requestClass.name,
-                priority: caller.requestClass.priority,
-                objectiveMs: caller.requestClass.objectiveMs,
-            };
-            const { repeatability } = caller.requestClass;
+        const serveRequest = (caller: Caller, refused: (retryAfterMs: number) => void): void => {
+            const { name: route, priority, objectiveMs, repeatability } = caller.requestClass;
             const arrivedAt = now();
             budget.recordRequest(service, arrivedAt);
             const attempts: RequestAttempts = createRequestAttempts({
@@ -187,6 +200,11 @@
                 tryTakeRetry: () => budget.tryTake(service, now()),
             });
             const tried = new Set<number>();
+            let mayBeAtServer = false;
+            const isRefused = (retryAfterMs: number): void => {
+                play.untrueRefusals += mayBeAtServer ? 1 : 0;
+                refused(retryAfterMs);
+            };
             const waiting: Waiting = {
                 requestKey: caller.key,
                 route,
@@ -221,6 +239,7 @@
                 const startedAt = now();
                 const { number } = choice.server;
                 tried.add(number);
+                mayBeAtServer = true;
                 attempts.attemptStarted();
                 pool.requestStarted(number, startedAt);
                 let isEnded = false;
@@ -228,7 +247,6 @@
                     workMs: caller.workMs,
                     deadlineAt: caller.deadlineAt,
                     isOpen: true,
-                    isRunning: false,
                     end: outcome => after(networkMs, () => ended(outcome)),
                 };
                 const observations: Partial<Record<AttemptOutcome, ServerObservation>> = {
@@ -242,6 +260,7 @@
                     }
                     isEnded = true;
                     job.isOpen = false;
+                    mayBeAtServer = outcome !== AttemptOutcome.Declined;
                     pool.requestEnded(number, observations[outcome], now(), startedAt);
                     if (hasAdmission && (outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.Declined)) {
                         admission.attemptEnded({
@@ -313,6 +332,6 @@
     callers.forEach(caller => after(caller.firstAt, () => callOnce(caller, random)));
 
     timeline.run(Math.max(...callers.map(({ deadlineAt }) => deadlineAt)));
-    play.roomUsed = busyMs / (serverCount * slotsPerServer * Math.max(1, pressMs - warmUpMs));
+    play.roomUsed = busyMs / Math.max(1, roomMs());
     return play;
 };
--- a/packages/core/src/test/admission-load.ts
+++ b/packages/core/src/test/admission-load.ts
@@ -1,6 +1,5 @@
 /** Patterns of load that find too little room, and what their callers get. */
-import type { Random } from "../index.js";
-import { Repeatability } from "../index.js";
+import type { Random, Repeatability } from "../index.js";
 
 /** Requests of one priority. Times are in milliseconds. */
 export interface RequestClass {
