--- a/packages/core/src/lib/admission/server-places.ts
+++ b/packages/core/src/lib/admission/server-places.ts
@@ -25,6 +25,8 @@
     recordRoom(excess: number, now: number): void;
     /** Whether requests lately met full servers or long waits. */
     isShort(): boolean;
+    /** Whether servers lately declined so many requests that they are fuller than is known. */
+    isOverestimated(): boolean;
     /** Returns how many requests beyond its slots a server may have for one more of this rank to be sent. */
     places(input: PlacesInput): number;
 }
@@ -36,6 +38,8 @@
 /** Bounds of the places of the most urgent. */
 const urgentPlaces = { min: 1, max: 9 } as const;
 const maxLessUrgentPlaces = 4;
+/** Places that the most urgent have beyond those for which the others compete. */
+const urgentMargin = 1.5;
 /** The less urgent get fewer places when a wait exceeds this fraction of what is bearable. */
 const tolerableFraction = 0.5;
 /** Change of their places with each wait; a decline takes as much as this many long waits. */
@@ -44,6 +48,8 @@
 const declineWeight = 2;
 const placesIncrease = 0.03;
 const placesDecreaseFactor = 0.7;
+/** With fewer places than this, declines show that servers are fuller than this host knows. */
+const fewPlaces = 2;
 /** Free slots for this long end the shortage. */
 const calmMs = 1000;
 
@@ -89,6 +95,7 @@
             }
         },
         isShort: () => isShort,
+        isOverestimated: () => acceptedPlaces < fewPlaces,
         places: ({ rank, workMs, bearableMs, slotsPerServer }) => {
             if (!isShort) {
                 return unlimitedPlaces;
@@ -96,7 +103,8 @@
             const pacing = slotsPerServer * knowledgeDelayMs / Math.max(1, workMs);
             const urgent = Math.min(
                 acceptedPlaces,
-                Math.max(urgentPlaces.min, pacing, slotsPerServer * bearableMs / Math.max(1, workMs)),
+                Math.max(urgentPlaces.min, slotsPerServer * bearableMs / Math.max(1, workMs)),
+                pacing + urgentMargin + Math.max(0, adjustment),
             );
             if (rank === 0) {
                 return urgent;
--- a/packages/core/src/lib/admission/service-admission.ts
+++ b/packages/core/src/lib/admission/service-admission.ts
@@ -59,8 +59,15 @@
 const presentMs = 4000;
 /** Time constant of the measured rate of service. */
 const rateMs = 2000;
-/** Only what is unservable at this many times the expected room is refused before its time. */
-const optimism = 2;
+/**
+ * A request is refused before its time only if it could not be served with this many times the expected room, as a burst may end:
+ * a caller that is refused returns several times, one that waits does not.
+ */
+const optimism = 4;
+
+/** While servers decline requests, a host sends at most this many times its part of what all can serve, and a few at once. */
+const paceFactor = 3;
+const paceBurst = 2;
 
 interface WaitingSince {
     since: number;
@@ -89,6 +96,8 @@
     /** Work that was sent to servers, in milliseconds, with exponential decay. */
     const sentWork = { sumMs: 0, updatedAt: 0 };
 
+    const pace = { tokens: paceBurst, updatedAt: 0 };
+
     const groupsOf = ({ priority, workspace }: AdmissionRequest): string[] =>
         workspace === undefined ? [`priority ${priority}`] : [`priority ${priority}`, `workspace ${workspace}`];
 
@@ -147,17 +156,27 @@
         const waitedMs = now - (waiting.get(req)?.since ?? now);
         waiting.delete(req);
         groupsOf(req).forEach(group => floors.recordSend(group, now));
+        pace.tokens = Math.max(-paceBurst, pace.tokens - 1);
         recordSentWork(work.workMs(req.route, req.objectiveMs), now);
         return { kind: "send", req, waitedMs };
     };
 
+    /** Sends beyond the slots follow the rate at which this host's part of the room serves, as hosts don't see each other's sends at once. */
+    const isPaced = (room: ServiceRoom, workMs: number, now: number): boolean => {
+        const ratePerMs = paceFactor * room.slots / Math.max(1, cfg.hostCount()) / Math.max(1, workMs);
+        pace.tokens = Math.min(paceBurst, pace.tokens + ratePerMs * (now - pace.updatedAt));
+        pace.updatedAt = now;
+        return pace.tokens >= 1;
+    };
+
     const mayBeSent = ({ req, isBelowFloor, workMs }: Standing<T>, room: ServiceRoom, now: number): boolean =>
-        room.excess < places.places({
-            rank: isBelowFloor ? 0 : rankOf(req.priority, now),
-            workMs,
-            bearableMs: bearableMs(now),
-            slotsPerServer: room.slotsPerServer,
-        });
+        (!places.isOverestimated() || isPaced(room, workMs, now))
+        && room.excess < places.places({
+                rank: isBelowFloor ? 0 : rankOf(req.priority, now),
+                workMs,
+                bearableMs: bearableMs(now),
+                slotsPerServer: room.slotsPerServer,
+            });
 
     const addWaiting = (req: T, now: number): void => {
         const ageMs = callerAges.ageMs(req.route, req.deadlineAt - req.arrivedAt);
--- a/packages/core/src/test/admission-load.ts
+++ b/packages/core/src/test/admission-load.ts
@@ -60,6 +60,14 @@
 
 const normal = (random: Random): number => Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
 
+/** What the server does at a time. */
+export const serverStateAt = (pattern: LoadPattern, index: number, now: number): ServerState => ({
+    slowness: 1,
+    declinesAll: false,
+    resetProbability: 0,
+    ...pattern.server?.(index, now),
+});
+
 /** Requests a second that all slots can serve. */
 const roomPerS = (classes: readonly RequestClass[]): number =>
     1000 * serverCount * slotsPerServer / classes.reduce((sum, { share, workMs }) => sum + share * workMs, 0);
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -19,6 +19,7 @@
 import { createAdmissionQueue } from "./admission-queue.js";
 import { createCallerServer } from "./caller-server.js";
 import type { RoutingResult } from "./caller-server.js";
+import { finishOpenRequests } from "./finish-open-requests.js";
 import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
@@ -30,7 +31,6 @@
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 import type { ServerEndCheckOptions } from "./server-end-check.js";
 import { createStateLink } from "./state-link.js";
-import { stopSchedule } from "./stop-schedule.js";
 import { ConnectResult, tryConnect } from "./try-connect.js";
 
 /** Options of {@link startEntryGateway}. */
@@ -72,7 +72,6 @@
 
 /** Without a majority of the state hosts, a starting host serves an unconfirmed configuration after this time. */
 const unconfirmedConfigFallbackMs = 3000;
-const stopPollMs = 50;
 /** `Retry-After` while the newest configuration is unknown, and the interval between updates of the phase, in milliseconds. */
 const unknownConfigRetryMs = 400;
 /** Requests wait for the first configuration until this long after the start, in milliseconds. */
@@ -310,21 +309,9 @@
     const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
 
     const stop = async (): Promise<void> => {
-        const stopStartedAt = clock();
         isStopping = true;
         updatePhase();
-        callerServer.startDraining();
-        forwardServer.startDraining();
-        const elapsed = (): number => clock() - stopStartedAt;
-        const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, stopPollMs));
-        const { acceptUntilMs, finishUntilMs } = stopSchedule(options.stopWithinMs);
-        while (elapsed() < acceptUntilMs) {
-            await waitForNextPoll();
-        }
-        callerServer.stopAccepting();
-        while (openRequestCount() > 0 && elapsed() < finishUntilMs) {
-            await waitForNextPoll();
-        }
+        await finishOpenRequests({ callerServer, forwardServer, openRequestCount, stopWithinMs: options.stopWithinMs, clock });
         timers.forEach(timer => clearInterval(timer));
         link.close();
         callerServer.close();
