--- a/packages/core/src/lib/admission/server-places.ts
+++ b/packages/core/src/lib/admission/server-places.ts
@@ -34,14 +34,14 @@
 /** Places while room is not short: as many as the selection of servers allows. */
 const unlimitedPlaces = Infinity;
 /** Hosts learn after about this time that a slot has become free; requests for that time wait at the server. */
-const knowledgeDelayMs = 120;
+const knowledgeDelayMs = 170;
 /** Bounds of the places of the most urgent. */
 const urgentPlaces = { min: 1, max: 9 } as const;
 const maxLessUrgentPlaces = 4;
 /** Places that the most urgent have beyond those for which the others compete. */
 const urgentMargin = 1.5;
 /** The less urgent get fewer places when a wait exceeds this fraction of what is bearable. */
-const tolerableFraction = 0.5;
+const tolerableFraction = 0.8;
 /** Change of their places with each wait; a decline takes as much as this many long waits. */
 const decrease = 0.25;
 const increase = 0.1;
--- a/packages/core/src/lib/admission/service-admission.ts
+++ b/packages/core/src/lib/admission/service-admission.ts
@@ -46,7 +46,7 @@
     /** Records the end of an attempt at a server. */
     attemptEnded(end: AdmittedEnd, now: number): void;
     /** Returns when a caller that is refused for another reason may come back; `undefined` while room is not short. */
-    retryAfterMs(req: AdmissionRequest, now: number): number | undefined;
+    retryAfterMs(req: AdmissionRequest): number | undefined;
     /** Whether requests lately found no room. */
     isShort(): boolean;
     size(): number;
@@ -64,9 +64,11 @@
  * a caller that is refused returns several times, one that waits does not.
  */
 const optimism = 4;
+/** A request that servers declined may wait at a host again; it returns after a random part of the time that a slot takes to become free. */
+const returnJitter = { min: 0.5, range: 1 } as const;
 
-/** While servers decline requests, a host sends at most this many times its part of what all can serve, and a few at once. */
-const paceFactor = 3;
+/** While servers decline requests, a host sends at most this many times its part of what all can serve, and this many at once. */
+const paceFactor = 4;
 const paceBurst = 2;
 
 interface WaitingSince {
@@ -215,12 +217,15 @@
                 return undefined;
             }
             // While room is not short nothing has to be compared.
-            if (!places.isShort() || (hasFreeSlot && waiting.size === 1)) {
+            if (!places.isShort()) {
                 return send(oldest, now);
             }
             const ordered = standings(now);
             const [first] = ordered;
-            if (first !== undefined && (hasFreeSlot || (now <= first.deadlineStartBy && mayBeSent(first, room, now)))) {
+            if (
+                first !== undefined && now < first.req.deadlineAt
+                && (hasFreeSlot || (now <= first.deadlineStartBy && mayBeSent(first, room, now)))
+            ) {
                 return send(first.req, now);
             }
             const [unservable] = findUnservable(ordered, optimism * expectedSlots(room.slots, now), now);
@@ -248,7 +253,10 @@
                 places.recordDecline(now);
             }
         },
-        retryAfterMs: (req, now) => places.isShort() ? retryAfterMs(req, now) : undefined,
+        retryAfterMs: req =>
+            places.isShort()
+                ? work.workMs(req.route, req.objectiveMs) * (returnJitter.min + returnJitter.range * cfg.random.next())
+                : undefined,
         isShort: () => places.isShort(),
         size: () => waiting.size,
     };
--- a/packages/gateway/src/lib/admission-queue.ts
+++ b/packages/gateway/src/lib/admission-queue.ts
@@ -157,7 +157,7 @@
         },
         roomChanged: wakeAll,
         hasRoomForHedges: service => admissions.get(service)?.isShort() !== true || pool.room(service, clock()).excess < 0,
-        retryAfterMs: req => admissions.get(req.service)?.retryAfterMs(req, clock()),
+        retryAfterMs: req => admissions.get(req.service)?.retryAfterMs(req),
         gauges: () => ({ cassiapick_admission_waiting: totalWaiting(), cassiapick_services_short: shortServices.size }),
     };
 };
