--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -272,7 +272,7 @@
         });
     };
 
-    /** Starts the next attempt after the wait for room; what changed meanwhile is checked here. */
+    /** Starts the next attempt after the wait for room, as soon as it has its turn. */
     const admitted = (): void => {
         if (!isConcluded) {
             turns.take(startNextAttempt, deny);
@@ -319,6 +319,7 @@
         };
     };
 
+    /** Starts the next attempt after all waits; what may have changed meanwhile, such as the caller's key, is checked here. */
     const startNextAttempt = (turn: Turn): void => {
         const plan = planNextAttempt();
         if (plan.kind !== "none") {
