--- a/packages/gateway/src/lib/answer-memory.ts
+++ b/packages/gateway/src/lib/answer-memory.ts
@@ -1,8 +1,8 @@
 /** The memory that an entry host may use for answers, and the refusal of requests that it has no memory for. */
 import { createByteBudget } from "@cassiapick/core";
 import type { ByteBudget } from "@cassiapick/core";
-import { ReplyKind } from "./request-runner.js";
-import type { CallerRequest, RequestRun } from "./request-runner.js";
+import { ReplyKind } from "./caller-request.js";
+import type { CallerRequest, RequestRun } from "./caller-request.js";
 
 /** The memory for answers of one host. */
 export interface AnswerMemory {
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -7,6 +7,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { AnswerWriter } from "./answer-writer.js";
+import { ReplyKind } from "./caller-request.js";
+import type { AccessLossReply, CallerRequest, Reply, RequestRun } from "./caller-request.js";
 import type { AccessLoss, ConfigInForce, RoutingQuery } from "./config-in-force.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { endToEndHeaders, headerValue } from "./headers.js";
@@ -15,8 +17,6 @@
 import { listenOn } from "./listen-on.js";
 import { createOutcomeLog } from "./outcome-log.js";
 import { readBody } from "./read-body.js";
-import { ReplyKind } from "./request-runner.js";
-import type { AccessLossReply, CallerRequest, Reply, RequestRun } from "./request-runner.js";
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -15,6 +15,7 @@
     LinkMessageKind,
 } from "@cassiapick/core";
 import type { GatewayConfig, LinkMessage, ServerRow } from "@cassiapick/core";
+import { createAdmissionQueue } from "./admission-queue.js";
 import { createAnswerMemory } from "./answer-memory.js";
 import { createAnswerWriter } from "./answer-writer.js";
 import { createCallerServer } from "./caller-server.js";
@@ -82,6 +83,8 @@
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
     const configInForce = createConfigInForce({ ...options, viewAgeMs: () => link.viewAgeMs() });
+    let hostCount = initialHostCount;
+    const admission = createAdmissionQueue({ pool, random: options.random, clock, hostCount: () => hostCount, log, metrics });
     let serversRevision = 0;
     let phase = HostPhase.Leaving;
     let isStopping = false;
@@ -133,7 +136,8 @@
         configInForce,
         run: req =>
             answerMemory.refusal(req)
-                ?? quotas.run(req, () => runRequest(req, { ...attemptDependencies, retryBudget, peers, random: options.random })),
+                ?? quotas.run(req, () =>
+                    runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, random: options.random })),
         answerWriter,
         clock,
         log,
@@ -176,8 +180,14 @@
             applyConfig(newConfig);
         },
         [LinkMessageKind.Servers]: message => applyServers(message.rows, message.revision),
-        [LinkMessageKind.Contacts]: message => retryBudget.setHostCount(message.entryHosts),
-        [LinkMessageKind.RelayedReports]: ({ h }) => applyZoneReports(pool, h, clock()),
+        [LinkMessageKind.Contacts]: message => {
+            retryBudget.setHostCount(message.entryHosts);
+            hostCount = message.entryHosts;
+        },
+        [LinkMessageKind.RelayedReports]: ({ h }) => {
+            applyZoneReports(pool, h, clock());
+            admission.roomChanged();
+        },
         [LinkMessageKind.RemoteOutcomes]: ({ r }) => applyRemoteReports(pool, r, clock()),
         [LinkMessageKind.LimitShares]: ({ r }) => {
             const shares = r.map(fromLimitShareRow);
@@ -291,6 +301,7 @@
                 cassiapick_answer_bytes_held: answerMemory.budget.held(),
                 cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
                 ...link.gauges(),
+                ...admission.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
--- a/packages/gateway/src/lib/outcome-log.ts
+++ b/packages/gateway/src/lib/outcome-log.ts
@@ -1,8 +1,8 @@
 /** Logs and counts how the requests of callers ended. */
 import type { EventLog } from "@cassiapick/operations";
+import { ReplyKind } from "./caller-request.js";
+import type { CallerRequest, Reply } from "./caller-request.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
-import { ReplyKind } from "./request-runner.js";
-import type { CallerRequest, Reply } from "./request-runner.js";
 
 /** Options of {@link createOutcomeLog}. */
 export interface OutcomeLogOptions {
--- a/packages/gateway/src/lib/quota-gate.ts
+++ b/packages/gateway/src/lib/quota-gate.ts
@@ -2,9 +2,9 @@
 import { createQuotaStock, LinkMessageKind } from "@cassiapick/core";
 import type { GatewayConfig, LinkMessage, QuotaGrantRow } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
+import { ReplyKind } from "./caller-request.js";
+import type { CallerRequest, Reply, RequestRun } from "./caller-request.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
-import { ReplyKind } from "./request-runner.js";
-import type { CallerRequest, Reply, RequestRun } from "./request-runner.js";
 
 /** Options of {@link createQuotaGate}. */
 export interface QuotaGateOptions {
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -8,87 +8,27 @@
     Repeatability,
     RequestAction,
 } from "@cassiapick/core";
-import type { AttemptPlan, GatewayRoute, HostRetryBudget, PeerSelector, Random, RequestAttempts, Turn } from "@cassiapick/core";
+import type { AdmittedEnd, AttemptPlan, HostRetryBudget, PeerSelector, Random, RequestAttempts, Turn } from "@cassiapick/core";
+import type { AdmissionQueue, QueuedRequest } from "./admission-queue.js";
 import { createAttemptTurns } from "./attempt-turn.js";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
+import { ReplyKind } from "./caller-request.js";
+import type { CallerRequest, Reply, RequestRun } from "./caller-request.js";
 import { startForwardAttempt } from "./forward-attempt.js";
-import type { RawHeaders } from "./headers.js";
 import type { ServerAnswer } from "./http-call.js";
 import { startServerAttempt } from "./server-attempt.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 
-/** A caller's request and its route. */
-export interface CallerRequest {
-    requestId: string | undefined;
-    /** Identifies the request by its content, under whatever id it is sent. */
-    requestKey: string;
-    /** Address of the caller, without a port. */
-    callerAddress: string;
-    route: GatewayRoute;
-    /** Number of the configuration that the route is from. */
-    configNumber: number;
-    /** Name of the workspace that the request counts for; `undefined` if callers need no keys. */
-    workspace?: string;
-    /** Priority of the request, from its workspace or its route; 0 is the most urgent. */
-    priority: number;
-    method: string;
-    target: string;
-    /** End-to-end headers, without those that the gateway sets. */
-    headers: RawHeaders;
-    body: Buffer;
-    /** When the head of the request was read, in milliseconds of the host's clock. */
-    arrivedAt: number;
-    /** When the caller's deadline or the route's timeout passes, in milliseconds of the host's clock. */
-    deadlineAt: number;
-    /** Returns the reply to a request that may not be sent any more, as its key was withdrawn while it waited. */
-    accessLoss?: () => AccessLossReply | undefined;
-}
-
-export enum ReplyKind {
-    /** The answer of a backend server. */
-    Answer = "answer",
-    /** The request has not run. */
-    Refused = "refused",
-    /** The request may have run. */
-    Failed = "failed",
-    /** The request's workspace has used up its quota; the request has not run. */
-    OverQuota = "over-quota",
-    /** The request's key was withdrawn while it waited; the request has not run. */
-    Unauthorized = "unauthorized",
-    TimedOut = "timed-out",
-    /** The caller has closed its connection. */
-    CallerDisconnected = "abandoned",
-}
-
-/** The reply to a request that may not be sent. */
-export type AccessLossReply =
-    | { kind: ReplyKind.Refused; retryAfterMs: number; reason: string; }
-    | { kind: ReplyKind.Unauthorized; reason: string; };
-
-/** The reply to the caller. */
-export type Reply =
-    | { kind: ReplyKind.Answer; answer: ServerAnswer; serverId?: string; attemptCount: number; detail: string; }
-    | AccessLossReply
-    | { kind: ReplyKind.OverQuota; retryAfterMs: number; reason: string; }
-    | { kind: ReplyKind.Failed; reason: string; }
-    | { kind: ReplyKind.TimedOut; reason: string; }
-    | { kind: ReplyKind.CallerDisconnected; };
-
 /** Dependencies that all requests of a host share. */
 export interface RunnerDependencies extends ServerAttemptDependencies {
     retryBudget: HostRetryBudget;
+    /** Holds requests while room at the servers is short. */
+    admission: AdmissionQueue;
     /** The entry hosts that send requests to servers while this host has no path to them. */
     peers: PeerSelector;
     random: Random;
 }
 
-/** A request in flight. */
-export interface RequestRun {
-    readonly reply: Promise<Reply>;
-    /** Cancels all attempts, as the caller has disconnected. */
-    cancel(): void;
-}
-
 /**
  * `Retry-After` of refused requests, in milliseconds. It is short while the service has free slots, as a server that
  * declined may accept the next request, and about the duration of one request while the service is full. The random part
@@ -96,9 +36,15 @@
  */
 const retryAfterRanges = { free: { minMs: 40, jitterMs: 80 }, full: { minMs: 150, jitterMs: 250 } } as const;
 
+/** What the end of an attempt says about the room at its server. */
+const roomOutcomes: Partial<Record<AttemptOutcome, AdmittedEnd["outcome"]>> = {
+    [AttemptOutcome.Answered]: "answered",
+    [AttemptOutcome.Declined]: "declined",
+};
+
 /** Starts a request. */
 export const runRequest = (req: CallerRequest, dependencies: RunnerDependencies): RequestRun => {
-    const { clock, pool, quarantine } = dependencies;
+    const { admission, clock, pool, quarantine } = dependencies;
     const { route, requestKey } = req;
     const service = pickDestination(route.destinations, dependencies.random)?.service ?? "";
     dependencies.retryBudget.recordRequest(service, req.arrivedAt);
@@ -143,6 +89,7 @@
         for (const timer of timers) {
             clearTimeout(timer);
         }
+        admission.leave(queued);
         turns.cancel();
         for (const attempt of openAttempts) {
             attempt.cancel();
@@ -154,7 +101,8 @@
 
     const refuse = (reason: string): void => {
         const { minMs, jitterMs } = pool.hasFreeSlots(service, clock()) ? retryAfterRanges.free : retryAfterRanges.full;
-        conclude({ kind: ReplyKind.Refused, retryAfterMs: minMs + jitterMs * dependencies.random.next(), reason });
+        const retryAfterMs = admission.retryAfterMs(queued) ?? minMs + jitterMs * dependencies.random.next();
+        conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
     };
 
     const fail = (reason: string): void =>
@@ -207,7 +155,7 @@
                 return;
             }
             const plan = planNextAttempt();
-            if (plan.kind !== "none" && attempts.tryHedge(clock())) {
+            if (plan.kind !== "none" && admission.hasRoomForHedges(service) && attempts.tryHedge(clock())) {
                 turns.take(turn => startAttempt(plan, turn), () => undefined);
             }
         });
@@ -232,6 +180,7 @@
 
     const startAttempt = (plan: StartablePlan, turn: Turn): void => {
         attempts.attemptStarted();
+        const startedAt = clock();
         // The starter is looked up by the kind of the plan, which the compiler can't follow.
         const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
         openAttempts.add(attempt);
@@ -239,6 +188,7 @@
             scheduleHedge(attempt);
         }
         void attempt.hasServerEnded.then(() => turns.end(turn));
+        void attempt.result.then(result => admission.attemptEnded(service, admittedEndOf(plan, result, startedAt)));
         void attempt.result.then(async result => {
             if (result.server !== undefined) {
                 triedServerNumbers.add(result.server.number);
@@ -264,8 +214,54 @@
         });
     };
 
-    const tryNextServer = (): void => turns.take(startNextAttempt, deny);
+    /** Starts the next attempt after the wait for room, as soon as it has its turn. */
+    const admitted = (): void => {
+        if (!isConcluded) {
+            turns.take(startNextAttempt, deny);
+        }
+    };
+
+    const queued: QueuedRequest = {
+        requestId: req.requestId,
+        requestKey,
+        service,
+        route: route.name,
+        priority: req.priority,
+        workspace: req.workspace,
+        objectiveMs: route.latencyObjectiveMs,
+        arrivedAt: req.arrivedAt,
+        deadlineAt: req.deadlineAt,
+        proceed: admitted,
+        refuse: (reason, retryAfterMs) => {
+            if (mayHaveRun()) {
+                fail(reason);
+                return;
+            }
+            conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
+        },
+    };
+
+    /** While the path to the servers is lost, other hosts send the request, so the room that this host sees does not count. */
+    const tryNextServer = (): void => {
+        if (dependencies.path.isServiceLost(service)) {
+            admitted();
+            return;
+        }
+        admission.enter(queued);
+    };
+
+    const admittedEndOf = (plan: StartablePlan, { outcome }: AttemptResult, startedAt: number): AdmittedEnd | undefined => {
+        const roomOutcome = roomOutcomes[outcome];
+        return plan.kind !== "direct" || roomOutcome === undefined ? undefined : {
+            route: route.name,
+            objectiveMs: route.latencyObjectiveMs,
+            elapsedMs: clock() - startedAt,
+            outcome: roomOutcome,
+            wasQueued: plan.choice.load >= plan.choice.server.slots,
+        };
+    };
 
+    /** Starts the next attempt after all waits; what may have changed meanwhile, such as the caller's key, is checked here. */
     const startNextAttempt = (turn: Turn): void => {
         const accessLoss = req.accessLoss?.();
         if (accessLoss !== undefined) {
--- a/packages/gateway/src/test/answer-writer_test.ts
+++ b/packages/gateway/src/test/answer-writer_test.ts
@@ -7,8 +7,8 @@
 import type { AddressInfo, Socket } from "node:net";
 import { createAnswerMemory } from "../lib/answer-memory.js";
 import { createAnswerWriter } from "../lib/answer-writer.js";
-import { ReplyKind } from "../lib/request-runner.js";
-import type { CallerRequest } from "../lib/request-runner.js";
+import { ReplyKind } from "../lib/caller-request.js";
+import type { CallerRequest } from "../lib/caller-request.js";
 import { testClock } from "./test-gateway.js";
 
 const megabyte = 1_000_000;
--- a/packages/gateway/src/test/caller-keys_test.ts
+++ b/packages/gateway/src/test/caller-keys_test.ts
@@ -3,14 +3,14 @@
 import { createEventLog, keyDigestOf, LogFormat } from "@cassiapick/operations";
 import { expect } from "chai";
 import { connect } from "node:net";
+import { ReplyKind } from "../lib/caller-request.js";
+import type { CallerRequest } from "../lib/caller-request.js";
 import { createCallerServer } from "../lib/caller-server.js";
 import type { CallerServer } from "../lib/caller-server.js";
 import { createConfigInForce } from "../lib/config-in-force.js";
 import type { ConfigInForce } from "../lib/config-in-force.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
 import type { GatewayMetrics } from "../lib/gateway-metrics.js";
-import { ReplyKind } from "../lib/request-runner.js";
-import type { CallerRequest } from "../lib/request-runner.js";
 import { createTestAnswerWriter, testClock, testHeaderNames } from "./test-gateway.js";
 
 const secretKey = "8m82thhkmgjqnirth5mg";
--- a/packages/gateway/src/test/caller-server-pipeline_test.ts
+++ b/packages/gateway/src/test/caller-server-pipeline_test.ts
@@ -4,10 +4,10 @@
 import { expect } from "chai";
 import { connect } from "node:net";
 import { createAnswerWriter } from "../lib/answer-writer.js";
+import { ReplyKind } from "../lib/caller-request.js";
+import type { Reply } from "../lib/caller-request.js";
 import { createCallerServer } from "../lib/caller-server.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
-import { ReplyKind } from "../lib/request-runner.js";
-import type { Reply } from "../lib/request-runner.js";
 import { testClock, testHeaderNames } from "./test-gateway.js";
 
 const route = {
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -3,11 +3,11 @@
 import { expect } from "chai";
 import { Agent, request } from "node:http";
 import type { IncomingHttpHeaders } from "node:http";
+import { ReplyKind } from "../lib/caller-request.js";
+import type { Reply } from "../lib/caller-request.js";
 import { createCallerServer } from "../lib/caller-server.js";
 import type { CallerServer } from "../lib/caller-server.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
-import { ReplyKind } from "../lib/request-runner.js";
-import type { Reply } from "../lib/request-runner.js";
 import { stopSchedule } from "../lib/stop-schedule.js";
 import { createTestAnswerWriter, testClock, testHeaderNames } from "./test-gateway.js";
 
--- a/packages/gateway/src/test/request-access_test.ts
+++ b/packages/gateway/src/test/request-access_test.ts
@@ -3,10 +3,11 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { ReplyKind } from "../lib/caller-request.js";
+import type { AccessLossReply } from "../lib/caller-request.js";
 import { connectTcp } from "../lib/http-call.js";
-import { ReplyKind, runRequest } from "../lib/request-runner.js";
-import type { AccessLossReply } from "../lib/request-runner.js";
-import { createLoneHost, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import { runRequest } from "../lib/request-runner.js";
+import { createLoneHost, createTestAdmission, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
 
 const timeoutMs = 2000;
 const withdrawn: AccessLossReply = { kind: ReplyKind.Unauthorized, reason: "the key of the request was withdrawn" };
@@ -103,6 +104,7 @@
                 connectServer: connectTcp,
                 clock: testClock,
                 ...createLoneHost(),
+                admission: createTestAdmission(pool),
                 retryBudget: createHostRetryBudget({ ratio: 1, reserve: 10, windowMs: 10_000 }, 1),
                 peers: createPeerSelector(locality, random),
                 random,
--- a/packages/gateway/src/test/request-runner_test.ts
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -9,10 +9,11 @@
 import { expect } from "chai";
 import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
+import { ReplyKind } from "../lib/caller-request.js";
 import { connectTcp } from "../lib/http-call.js";
 import type { Connect } from "../lib/http-call.js";
-import { ReplyKind, runRequest } from "../lib/request-runner.js";
-import { createLoneHost, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import { runRequest } from "../lib/request-runner.js";
+import { createLoneHost, createTestAdmission, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
 
 const timeoutMs = 120;
 
@@ -77,6 +78,7 @@
                 connectServer,
                 clock: testClock,
                 ...createLoneHost(),
+                admission: createTestAdmission(pool),
                 retryBudget: createHostRetryBudget({ ratio: 0.2, reserve: 10, windowMs: 10_000 }, 1),
                 peers: createPeerSelector(locality, random),
                 random,
