Attach to the own zone at once, and send the number of entry hosts less often

Cause: an entry host that had moved from one state host to a nearer one stayed there for 1.5 s before it moved to its own zone, while servers and the number of entry hosts were sent to it four times.

Change: the first move to the own zone is made at once. Hosts of other zones are sent the number of entry hosts alone each 2 s.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -29,7 +29,7 @@
 import type { ControlHost, ControlHostOptions } from "./control-contract.js";
 import { createEntryLinks, viewAgeMessage } from "./entry-links.js";
 import { createFactBatcher } from "./fact-batcher.js";
-import { createEntryPeersCache, createGatheringCheck, stateContacts } from "./fleet-queries.js";
+import { countEntryHosts, createEntryPeersCache, stateContacts } from "./fleet-queries.js";
 import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createPeerLinks } from "./peer-links.js";
@@ -100,22 +100,18 @@
     };
 
     const entryPeersOf = createEntryPeersCache();
-    const isGathering = createGatheringCheck();
 
     const sendUpdates = (isPeriodic = false): void => {
         const fleet = driver.fleet();
         if (fleet === undefined || entryLinks.size() === 0) {
             return;
         }
-        const hosts = [...fleet.hosts()];
-        const entryHosts = hosts.filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
         entryLinks.sendUpdates(
             {
                 fleet,
                 config: refreshConfig(fleet),
                 contacts: stateContacts(fleet, driver.voters()),
-                isGathering: isGathering(driver.voters(), clock()),
-                entryHosts,
+                entryHosts: countEntryHosts(fleet),
                 limitShares: limitRecorder.sharesOf(fleet),
                 entryPeers: entryPeersOf(fleet),
                 quarantined: fleet.quarantined(),
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -31,8 +31,6 @@
     fleet: FleetMachine;
     config: GatewayConfig | undefined;
     contacts: StateHostContact[];
-    /** Whether state hosts have joined just now, so that others may follow. */
-    isGathering?: boolean;
     /** Number of entry hosts in the fleet. */
     entryHosts: number;
     limitShares: LimitShares;
@@ -84,6 +82,7 @@
     sentContacts: string;
     /** The number of entry hosts sent last. */
     sentEntryHosts: number;
+    contactsSentAt: number;
     /** When the host was first told of a state host of its own availability zone; `undefined` before that. */
     nearHostSince: number | undefined;
     /** The shares of limits sent last, as JSON; "" before the first ones. */
@@ -109,8 +108,8 @@
 /** Time for a host to move to a nearer state host, in milliseconds: a round trip, its next check and connection setup. */
 const moveTimeoutMs = 350;
 
-/** How long a host without a configuration is kept waiting for a state host of its own availability zone to join, in milliseconds. */
-const gatheringTimeoutMs = 1500;
+/** While only the number of entry hosts changes, hosts of other availability zones are sent it this often, in milliseconds. */
+const farCountIntervalMs = 2000;
 
 const namesHostOf = (contacts: readonly StateHostContact[], availabilityZone: string): boolean =>
     contacts.some(contact => contact.availabilityZone === availabilityZone);
@@ -142,15 +141,10 @@
     };
 
     /** Whether a host will probably move to a state host of its own availability zone, so that further updates would be wasted. */
-    const isExpectedToMove = (attachedHost: AttachedHost, snapshot: FleetSnapshot, now: number): boolean => {
+    const isExpectedToMove = (attachedHost: AttachedHost, now: number): boolean => {
         const { attachedAt, nearHostSince, configNumber, host } = attachedHost;
-        if (host.availabilityZone === availabilityZone) {
-            return false;
-        }
-        if (nearHostSince === undefined) {
-            return configNumber === 0 && snapshot.isGathering === true && now - attachedAt < gatheringTimeoutMs;
-        }
-        return now - (configNumber === 0 ? nearHostSince : attachedAt) < moveTimeoutMs;
+        return host.availabilityZone !== availabilityZone && nearHostSince !== undefined
+            && now - (configNumber === 0 ? nearHostSince : attachedAt) < moveTimeoutMs;
     };
 
     /**
@@ -164,14 +158,18 @@
         if (isNear || sentContacts === "" || hasNewNearHost) {
             return false;
         }
-        return configNumber > 0 || snapshot.config === undefined || isExpectedToMove(attachedHost, snapshot, now);
+        return configNumber > 0 || snapshot.config === undefined || isExpectedToMove(attachedHost, now);
     };
 
     const sendContacts = (link: Link, attachedHost: AttachedHost, snapshot: FleetSnapshot, text: string, now: number): void => {
         const { contacts, entryHosts } = snapshot;
-        if (text === attachedHost.sentContacts && entryHosts === attachedHost.sentEntryHosts) {
+        const isFar = attachedHost.host.availabilityZone !== availabilityZone;
+        const isCountDue = entryHosts !== attachedHost.sentEntryHosts
+            && (!isFar || now - attachedHost.contactsSentAt >= farCountIntervalMs);
+        if (text === attachedHost.sentContacts && !isCountDue) {
             return;
         }
+        attachedHost.contactsSentAt = now;
         link.send({ k: LinkMessageKind.Contacts, contacts, entryHosts } satisfies LinkMessage);
         attachedHost.sentContacts = text;
         attachedHost.sentEntryHosts = entryHosts;
@@ -229,7 +227,7 @@
                 continue;
             }
             sendContacts(link, attachedHost, snapshot, contactsText, now);
-            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, snapshot, now);
+            attachedHost.isUpToDate = !isExpectedToMove(attachedHost, now);
             if (!attachedHost.isUpToDate) {
                 continue;
             }
@@ -291,6 +289,7 @@
                 serversRevision,
                 sentContacts: "",
                 sentEntryHosts: 0,
+                contactsSentAt: -Infinity,
                 nearHostSince: undefined,
                 sentShares: "",
                 sentPeers: [],
--- a/packages/control/src/lib/fleet-queries.ts
+++ b/packages/control/src/lib/fleet-queries.ts
@@ -10,22 +10,9 @@
         .map(({ hostId: address, availabilityZone, region }) => ({ address, availabilityZone, region }));
 };
 
-/** After a state host has joined, others may follow within this time, in milliseconds. */
-const gatheringMs = 700;
-
-/** Creates a function that tells from the voters whether state hosts have joined just now, as at the first start of a fleet. */
-export const createGatheringCheck = (): (voters: readonly string[], now: number) => boolean => {
-    let known: ReadonlySet<string> | undefined;
-    let joinedAt = -Infinity;
-    return (voters, now) => {
-        // A host that starts finds all voters at once, and none of them has just joined.
-        if (known !== undefined && voters.some(voter => !known!.has(voter))) {
-            joinedAt = now;
-        }
-        known = voters.length === 0 ? known : new Set(voters);
-        return now - joinedAt < gatheringMs;
-    };
-};
+/** Number of entry hosts that have not departed. */
+export const countEntryHosts = (fleet: FleetMachine): number =>
+    [...fleet.hosts()].filter(record => record.role === HostRole.Entry && record.state !== HostPhase.Departed).length;
 
 /** Creates a function that returns the peers of all entry hosts; they are computed again only after a change to hosts. */
 export const createEntryPeersCache = (): (fleet: FleetMachine) => EntryPeers => {
--- a/packages/core/src/lib/gateway/state-host-selector.ts
+++ b/packages/core/src/lib/gateway/state-host-selector.ts
@@ -89,6 +89,7 @@
     let lastAskedAt = -Infinity;
     let lastPartAt = -Infinity;
     let hasMovedCloser = false;
+    let hasBeenInOwnZone = false;
     const asked = new Set<string>();
     const failures = new Map<string, Failures>();
 
@@ -119,11 +120,16 @@
     /** Traffic between availability zones and regions is billed, so a move to a nearer host pays off. */
     const nearerAddress = (now: number): string | undefined => {
         const limit = currentDistance();
-        // A seed's zone is unknown until the fleet lists it; after that, the first move to a nearer host is made at once.
-        if (limit === undefined || now - attachedAt < (hasMovedCloser ? minStayMs : 0)) {
+        if (limit === undefined) {
             return undefined;
         }
-        return candidates().filter(contact => distance(contact) < limit && !isAvoided(contact, now, maxCalmAvoidanceMs))
+        // A seed's zone is unknown until the fleet lists it; after that, the first move to a nearer host is made at once, and so is
+        // the first one to the own zone.
+        const stayMs = (contact: StateHostContact): number =>
+            hasMovedCloser && (hasBeenInOwnZone || distance(contact) > 0) ? minStayMs : 0;
+        return candidates().filter(contact =>
+            distance(contact) < limit && now - attachedAt >= stayMs(contact) && !isAvoided(contact, now, maxCalmAvoidanceMs)
+        )
             .sort((a, b) => distance(a) - distance(b))[0]?.address;
     };
 
@@ -151,6 +157,7 @@
     const attach = (address: string, isUpToDate: boolean, now: number): void => {
         const previousDistance = currentDistance();
         current = address;
+        hasBeenInOwnZone ||= currentDistance() === 0;
         hasMovedCloser ||= previousDistance !== undefined && (currentDistance() ?? Infinity) < previousDistance;
         isCurrentUpToDate = isUpToDate;
         attachedAt = now;
--- a/packages/core/src/test/state-host-selector_test.ts
+++ b/packages/core/src/test/state-host-selector_test.ts
@@ -140,6 +140,31 @@
         expect(selector.currentAddress()).to.equal("local:1");
     });
 
+    // Hosts of other zones are sent updates over links that are billed.
+    it("moves to its own zone at once, also soon after a move to a nearer state host, but not back and forth", () => {
+        const selector = create();
+        selector.nextAddress(0);
+        selector.viewConfirmed("seed:1", 50, 50);
+        const listed = [...contacts, { address: "seed:1", availabilityZone: "b1", region: "b" }];
+        const moves: [at: number, to: string][] = [];
+        const lostAt = 700;
+        for (let now = 100; now < 3000; now += 100) {
+            selector.setContacts(listed.filter(({ address }) => address !== "local:1" || now >= 400));
+            if (now === lostAt) {
+                selector.connectionLost("local:1", now);
+            }
+            selector.viewConfirmed(selector.currentAddress() ?? "", 50, now);
+            const next = selector.nextAddress(now);
+            if (next !== undefined) {
+                moves.push([now, next]);
+                selector.viewConfirmed(next, 50, now);
+            }
+        }
+        expect(moves.slice(0, 2)).to.deep.equal([[200, "region:1"], [400, "local:1"]]);
+        const returns = moves.filter(([at, to]) => at > lostAt && to === "local:1");
+        expect(returns.map(([at]) => at)).to.deep.equal([2200]);
+    });
+
     it("uses new seeds when all known state hosts are unreachable", () => {
         const selector = create(["old:1"]);
         expect(selector.nextAddress(0)).to.equal("old:1");
