--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -328,13 +328,12 @@
         setSeeds: seeds => link.setSeeds(seeds),
         renderMetrics: () =>
             metrics.render({
-                cassiapick_view_age_ms: Number.isFinite(link.viewAgeMs()) ? Math.round(link.viewAgeMs()) : -1,
+                ...link.gauges(),
                 cassiapick_configuration_number: config?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
                 ...requestQuarantine.gauges(),
-                ...link.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
             }),
--- a/packages/gateway/src/lib/state-link.ts
+++ b/packages/gateway/src/lib/state-link.ts
@@ -47,7 +47,7 @@
     takesEvidence(): boolean;
     /** Sends collected reports immediately, so that other hosts avoid a server that has just failed. */
     sendReportsNow(): void;
-    /** What was sent to state hosts, by kind and distance. */
+    /** The age of the view, and what was sent to state hosts by kind and distance, for the metrics endpoint. */
     gauges(): Record<string, number>;
     close(): void;
 }
@@ -247,7 +247,8 @@
         setSeeds: seeds => hostSelector.setSeeds(seeds),
         sendReportsNow: sendReports,
         takesEvidence,
-        gauges: () => traffic.gauges(),
+        // -1 if the view age is unknown.
+        gauges: () => ({ cassiapick_view_age_ms: roundedViewAgeMs() ?? -1, ...traffic.gauges() }),
         sendEvidence: message => {
             if (takesEvidence()) {
                 send(message);
