--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** The decision logic of cassiapick as pure state machines, without sockets, clocks or random sources of their own. */
 export * from "./lib/backend-server.js";
 export * from "./lib/claims/index.js";
+export * from "./lib/config-check/index.js";
 export * from "./lib/consensus/bootstrap.js";
 export * from "./lib/consensus/compact-messages.js";
 export * from "./lib/consensus/configuration-machine.js";
@@ -35,3 +36,5 @@
 export * from "./lib/scheduler.js";
 export * from "./lib/state-messages.js";
 export * from "./lib/tables.js";
+export * from "./lib/transfer/index.js";
+export * from "./lib/workspace/index.js";
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -5,7 +5,7 @@
 import { Admission, AttemptOutcome } from "@cassiapick/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { forwardBody } from "./answer-body.js";
+import type { AnswerWriter } from "./answer-writer.js";
 import type { Attempt, AttemptResult } from "./attempt.js";
 import { decodeForwardRequest, encodeForwardResult, forwardResultHeader, forwardTarget } from "./forward-protocol.js";
 import type { ForwardRequest, ForwardResult } from "./forward-protocol.js";
@@ -20,6 +20,7 @@
     metrics: GatewayMetrics;
     /** Longest body of a caller's request, in bytes. */
     maxBodyBytes: () => number;
+    answerWriter: AnswerWriter;
 }
 
 /** Server for other entry hosts. */
@@ -77,19 +78,22 @@
             { outcome, detail, server, isLeaving, answer: { status, headers: [...headers] } },
             stream === undefined ? body.length : undefined,
         );
-        forwardBody(res, answer);
+        options.answerWriter.write(res, answer);
     };
 
-    /** Starts the attempt; returns why there is none if no server takes the request. */
-    const startAttempt = (forwarded: ForwardRequest): Attempt | string => {
+    /** Starts the attempt; returns the result without one if no server takes the request. */
+    const startAttempt = (forwarded: ForwardRequest): Attempt | ForwardResult => {
         const { service, repeatability, remainingMs, latencyObjectiveMs, routeName, method, target } = forwarded;
         const { requestKey } = forwarded;
         if (requestKey !== undefined && options.quarantine.admit(requestKey, clock()).admission === Admission.Quarantined) {
-            return "the request is quarantined";
+            return unavailable("the request is quarantined");
+        }
+        if (forwarded.hasLargeAnswer === true && options.answerBudget?.isShort() === true) {
+            return { ...unavailable("the host holds too many bytes of answers"), isShortOfMemory: true };
         }
         const choice = pool.choose(service, repeatability, new Set(forwarded.excluded), clock());
         if (choice === undefined) {
-            return path.isServiceLost(service) ? "no path to the servers" : "no server takes requests";
+            return unavailable(path.isServiceLost(service) ? "no path to the servers" : "no server takes requests");
         }
         return startServerAttempt(
             {
@@ -99,6 +103,7 @@
                 latencyObjectiveMs,
                 service,
                 repeatability,
+                hasLargeAnswer: forwarded.hasLargeAnswer,
                 method,
                 target,
                 headers: forwarded.headers,
@@ -126,10 +131,10 @@
         }
         const attempt = startAttempt(forwarded);
         const { routeName: route, requestId } = forwarded;
-        if (typeof attempt === "string") {
+        if (!("result" in attempt)) {
             metrics.increment("cassiapick_forwarded_total", { route, outcome: "unavailable" });
-            log.log("forwardRefused", { requestId, route, reason: attempt });
-            end(res, unavailable(attempt));
+            log.log("forwardRefused", { requestId, route, reason: attempt.detail });
+            end(res, attempt);
             return;
         }
         res.on("close", () => attempt.cancel());
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -9,7 +9,7 @@
 import { ReplyKind } from "../lib/request-runner.js";
 import type { Reply } from "../lib/request-runner.js";
 import { stopSchedule } from "../lib/stop-schedule.js";
-import { testClock, testHeaderNames } from "./test-gateway.js";
+import { createTestAnswerWriter, testClock, testHeaderNames } from "./test-gateway.js";
 
 const route = {
     name: "route",
@@ -61,8 +61,12 @@
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
         server = createCallerServer({
             headerNames: testHeaderNames,
-            route: () => ({ kind: "routed", route, configNumber: 1 }),
-            waitForNextConfig: () => Promise.resolve(),
+            answerWriter: createTestAnswerWriter(),
+            configInForce: {
+                route: () => ({ kind: "routed", route, configNumber: 1 }),
+                waitForRoute: () => Promise.resolve({ kind: "routed", route, configNumber: 1 }),
+                accessLoss: () => undefined,
+            },
             run: () => {
                 const reply = new Promise<Reply>(resolve => runs.push(resolve));
                 notifyRun();
