--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -292,7 +292,7 @@
         setSeeds: seeds => link.setSeeds(seeds),
         renderMetrics: () =>
             metrics.render({
-                cassiapick_view_age_ms: Number.isFinite(link.viewAgeMs()) ? Math.round(link.viewAgeMs()) : -1,
+                ...link.gauges(),
                 cassiapick_configuration_number: configInForce.current()?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
@@ -300,7 +300,6 @@
                 ...requestQuarantine.gauges(),
                 cassiapick_answer_bytes_held: answerMemory.budget.held(),
                 cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
-                ...link.gauges(),
                 ...admission.gauges(),
                 cassiapick_server_path_lost: path.isHostLost() ? 1 : 0,
                 cassiapick_requests_open: openRequestCount(),
