Don't let a message without shares confirm shares that were lost

A lowered share that is lost would have been confirmed in the same way. Change: a message that changes nothing covers no version, so a host that lacks one does not apply it.

--- a/packages/core/src/lib/workspace/quota-division.ts
+++ b/packages/core/src/lib/workspace/quota-division.ts
@@ -242,7 +242,9 @@
         }
         holder.answeredAt = answered > 0 ? now : holder.answeredAt;
         const { epoch: e, version: v } = holder;
-        const covered = isRepeated ? v - holder.confirmedVersion : 1;
+        const changes = isChanged ? 1 : 0;
+        // A host that lacks a change must not take a message without it for complete.
+        const covered = isRepeated ? v - holder.confirmedVersion : changes;
         send(hostId, {
             t: leadingTerm!,
             s: answered,
