Let asks for tokens wait while nothing shows that the quota is used up

An ask was refused after 120 ms. Change: asks wait 1 s for tokens, and 2 s without shares, unless all of the quota is known to be wanted. Entry hosts wait 2 s at most, as before.

--- a/packages/core/src/lib/workspace/quota-keeper.ts
+++ b/packages/core/src/lib/workspace/quota-keeper.ts
@@ -40,8 +40,13 @@
     shortCount(): number;
 }
 
-/** An ask waits for tokens at most this long, in milliseconds, unless all of the quota is known to be wanted. */
-const maxAskWaitMs = 120;
+/**
+ * An ask waits for tokens at most this long, in milliseconds, unless all of the quota is known to be wanted: the leader moves shares
+ * and lends within that time, and a short wait costs a caller less than a refusal within the quota.
+ */
+const maxAskWaitMs = 1000;
+/** Without shares, as after a start, nothing shows that a quota is used up; then an ask waits as long as entry hosts do, in milliseconds. */
+const maxWaitWithoutSharesMs = 2000;
 /** The lease is renewed at this interval, in milliseconds. */
 const renewalMs = 1200;
 /** Shortest time between two messages to the leader, in milliseconds, except for one that confirms. */
@@ -64,7 +69,7 @@
     hostKey: number;
     waiting: number;
     spare: number;
-    until: number;
+    askedAt: number;
 }
 
 interface KeptQuota {
@@ -91,7 +96,9 @@
     const answer = (name: string, quota: KeptQuota, ask: WaitingAsk, now: number): boolean => {
         const count = quota.bucket.take(ask.hostKey, ask.waiting, ask.spare, now);
         const refused = Math.max(0, ask.waiting - count);
-        if (count === 0 && refused > 0 && !quota.isSaturated && now < ask.until) {
+        const waitMs = lease.isHeld() ? maxAskWaitMs : maxWaitWithoutSharesMs;
+        const isRefusalSure = lease.isHeld() && quota.isSaturated;
+        if (count === 0 && refused > 0 && !isRefusalSure && now < ask.askedAt + waitMs) {
             return false;
         }
         const dueMs = refused === 0 ? 0 : quota.bucket.dueInMs(refused, now);
@@ -209,7 +216,7 @@
             quota.meter.record(arrived, now);
             quota.bucket.setHeld(hostKey, held, now);
             quota.bucket.credit(returned, now);
-            const ask = { hostKey, waiting, spare, until: now + maxAskWaitMs };
+            const ask = { hostKey, waiting, spare, askedAt: now };
             if (quota.asks.length > 0 || !answer(name, quota, ask, now)) {
                 quota.asks.push(ask);
             }
