--- a/review/lib/upstream.ts
+++ b/review/lib/upstream.ts
@@ -12,9 +12,8 @@
     readonly address: string;
     /** Ids of the requests that it ran, in order. */
     readonly ran: string[];
-    /** Its start, as it says of itself. */
-    readonly born: number;
-    stopAnnouncing(): void;
+    /** How many heartbeats it has sent, and how many of them were acknowledged. */
+    readonly heartbeats: { sent: number; acked: number; };
     close(): void;
 }
 
@@ -84,6 +83,7 @@
     const host = fleet.nextAddress();
     const born = Date.now();
     const ran: string[] = [];
+    const heartbeats = { sent: 0, acked: 0 };
     const sockets = new Set<Socket>();
     let sequence = 0;
     const server = createServer((req, res) => {
@@ -111,7 +111,10 @@
     const address = `${host}:${(server.address() as AddressInfo).port}`;
     const announce = (): void => {
         sequence += 1;
-        void sendHeartbeat(fleet, id, heartbeatOf({ address, service, zone, born, sequence }));
+        heartbeats.sent += 1;
+        void sendHeartbeat(fleet, id, heartbeatOf({ address, service, zone, born, sequence })).then(isAcked => {
+            heartbeats.acked += isAcked ? 1 : 0;
+        });
     };
     const timer = setInterval(announce, heartbeatS * 1000);
     announce();
@@ -120,8 +123,7 @@
         service,
         address,
         ran,
-        born,
-        stopAnnouncing: () => clearInterval(timer),
+        heartbeats,
         close: () => {
             clearInterval(timer);
             server.close();
