--- a/review/lib/fleet.ts
+++ b/review/lib/fleet.ts
@@ -44,6 +44,8 @@
     readonly folder: string;
     /** An unused loopback address for a server or a client. */
     nextAddress(): string;
+    /** Ends the process of a host whose machine is lost for good. */
+    lose(host: Host): void;
     stop(): Promise<void>;
 }
 
@@ -206,9 +208,10 @@
     hosts.forEach(host => host.start());
     isFirstStart = false;
     let isStopping = false;
+    const lost = new Set<Host>();
     // The platform starts a process again after a short delay.
     const restartTimer = setInterval(() => {
-        for (const host of hosts.filter(other => !isStopping && !other.isRunning())) {
+        for (const host of hosts.filter(other => !isStopping && !lost.has(other) && !other.isRunning())) {
             host.start();
         }
     }, restartDelayMs);
@@ -218,6 +221,10 @@
         entries,
         folder,
         nextAddress,
+        lose: host => {
+            lost.add(host);
+            host.signal("SIGKILL");
+        },
         stop: async () => {
             isStopping = true;
             clearInterval(restartTimer);
