Give a host no part of the retry reserve in its first window, nor before it knows the number of hosts

Callers' requests were repeated beyond the fleet's bound. Cause: each process started with a full part of the reserve, although the process before it on the same host may have spent that part a moment before; and it divided the reserve by 50 until a state host told it the number of hosts, which in a fleet of 91 or 300 gives away more than the reserve. A state host that has just started could name too few.

A part now counts after one whole window, and once a number of hosts has come with a confirmed view.

--- a/packages/core/src/lib/gateway/host-retry-budget.ts
+++ b/packages/core/src/lib/gateway/host-retry-budget.ts
@@ -1,7 +1,7 @@
 /**
  * Limits retries over the whole fleet without messages between hosts: each entry host may spend a fraction of its own
  * requests and an equal part of a fixed reserve. The budgets of all hosts add up to no more than the fleet's bound, also
- * during a network partition.
+ * during a network partition, and however often hosts restart.
  */
 
 /** Bound for the fleet: retries in any window are at most `ratio` times the requests in it plus `reserve`. */
@@ -22,8 +22,10 @@
      * retries as the latest windows asked for are left and a few more, up to a bound.
      */
     tryTakeHedge(service: string, now: number): boolean;
-    /** Sets the number of entry hosts that share the reserve. */
+    /** Sets the number of entry hosts that share the reserve; until it is known, this host has no part of it. */
     setHostCount(count: number): void;
+    /** This host's part of the reserve, in retries. */
+    reserveShare(now: number): number;
 }
 
 /** A retry counts until its whole slice has left the window, so one slice more than the window has is kept. */
@@ -50,11 +52,11 @@
 
 const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
-/** Creates the budget of one host in a fleet of `initialHostCount` entry hosts. */
-export const createHostRetryBudget = (bound: RetryBound, initialHostCount: number): HostRetryBudget => {
+/** Creates the budget of one host whose process started at `startedAt`. */
+export const createHostRetryBudget = (bound: RetryBound, startedAt: number): HostRetryBudget => {
     const windows = new Map<string, Window>();
     const sliceMs = bound.windowMs / (sliceCount - 1);
-    let hostCount = Math.max(1, initialHostCount);
+    let hostCount: number | undefined;
 
     const emptySlices = (): number[] => Array<number>(sliceCount).fill(0);
 
@@ -74,11 +76,16 @@
     const wantedAt = (window: Window, now: number): number =>
         window.wanted * Math.exp(-Math.max(0, now - window.wantedAt) / (wantedWindows * bound.windowMs));
 
-    const limitOf = (window: Window): number => usableFraction * (bound.ratio * sum(window.requests) + bound.reserve / hostCount);
+    /** In its first window a process has no part, as the process before it on this host may have spent that part. */
+    const reserveShare = (now: number): number =>
+        hostCount === undefined || now - startedAt < bound.windowMs ? 0 : bound.reserve / hostCount;
+
+    const limitAt = (window: Window, now: number): number =>
+        usableFraction * (bound.ratio * sum(window.requests) + reserveShare(now));
 
     /** Takes one if it leaves at least `reserved` of the budget. */
-    const take = (window: Window, reserved: number): boolean => {
-        if (sum(window.retries) + 1 + reserved > limitOf(window)) {
+    const take = (window: Window, reserved: number, now: number): boolean => {
+        if (sum(window.retries) + 1 + reserved > limitAt(window, now)) {
             return false;
         }
         window.retries[window.slice % sliceCount]! += 1;
@@ -94,17 +101,18 @@
             const window = currentWindow(service, now);
             window.wanted = wantedAt(window, now) + 1;
             window.wantedAt = now;
-            return take(window, 0);
+            return take(window, 0, now);
         },
         tryTakeHedge: (service, now) => {
             const window = currentWindow(service, now);
             // The next window may ask for one standard deviation more than one window usually does.
             const wanted = wantedAt(window, now) / wantedWindows;
-            return take(window, Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limitOf(window)));
+            return take(window, Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limitAt(window, now)), now);
         },
         setHostCount: count => {
             // A partitioned host may receive too low a count; the highest count is the safe one.
-            hostCount = Math.max(hostCount, count, 1);
+            hostCount = Math.max(hostCount ?? 1, count);
         },
+        reserveShare,
     };
 };
--- a/packages/core/src/test/admission-fleet.ts
+++ b/packages/core/src/test/admission-fleet.ts
@@ -2,7 +2,6 @@
 import {
     AdmissionRefusal,
     AttemptOutcome,
-    createHostRetryBudget,
     createRandom,
     createRequestAttempts,
     createServerPool,
@@ -26,6 +25,7 @@
 import { createTestServer, networkMs } from "./admission-server.js";
 import type { Job } from "./admission-server.js";
 import { createFakeTimeline } from "./fake-timeline.js";
+import { createSettledRetryBudget } from "./settled-retry-budget.js";
 
 export interface FleetPlay {
     callers: Caller[];
@@ -110,7 +110,7 @@
             wallClock: now,
         });
         pool.update(records);
-        const budget = createHostRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, hostCount);
+        const budget = createSettledRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, hostCount);
         const admission: ServiceAdmission<Waiting> = createServiceAdmission({
             random: hostRandom,
             work: createWorkEstimate(),
--- a/packages/core/src/test/host-retry-budget_test.ts
+++ b/packages/core/src/test/host-retry-budget_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { createHostRetryBudget, createRandom } from "../index.js";
+import { createSettledRetryBudget } from "./settled-retry-budget.js";
 
 const bound = { ratio: 0.2, reserve: 58, windowMs: 10_000 };
 const service = "quotes";
@@ -9,7 +10,7 @@
         it(`keeps to the fleet's bound in every window while all requests fail, seed ${seed}`, () => {
             const random = createRandom(seed);
             const hostCount = 40;
-            const budgets = Array.from({ length: hostCount }, () => createHostRetryBudget(bound, hostCount));
+            const budgets = Array.from({ length: hostCount }, () => createSettledRetryBudget(bound, hostCount));
             const requests: number[] = [];
             const retries: number[] = [];
             for (let now = 0; now < 60_000; now += 10) {
@@ -46,7 +47,7 @@
             isHedgeLikeRetry: boolean,
         ): { denied: number; wanted: number; hedges: number; } => {
             const random = createRandom(5);
-            const budget = createHostRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, 91);
+            const budget = createSettledRetryBudget({ ratio: 0.2, reserve: 160, windowMs: 10_000 }, 91);
             const result = { denied: 0, wanted: 0, hedges: 0 };
             for (let now = 0; now < 600_000; now += 10) {
                 if (random.next() >= 0.0125) {
@@ -76,7 +77,7 @@
         }
 
         it("leaves the whole budget to hedges where no request fails at once", () => {
-            const budget = createHostRetryBudget(bound, 1);
+            const budget = createSettledRetryBudget(bound, 1);
             let taken = 0;
             while (budget.tryTakeHedge(service, 0)) {
                 taken += 1;
@@ -85,7 +86,7 @@
         });
 
         it("leaves a part of the budget to hedges", () => {
-            const budget = createHostRetryBudget(bound, 1);
+            const budget = createSettledRetryBudget(bound, 1);
             for (let count = 0; count < 10; count += 1) {
                 budget.tryTake(service, 0);
             }
@@ -93,8 +94,25 @@
         });
     });
 
+    describe("has no part of the reserve", () => {
+        const starts = [
+            { name: "in the first window of its process", now: bound.windowMs - 1, hostCount: 1, hasPart: false },
+            { name: "before the number of hosts is known", now: bound.windowMs, hostCount: undefined, hasPart: false },
+            { name: "no longer, once both are over", now: bound.windowMs, hostCount: 1, hasPart: true },
+        ];
+        for (const { name, now, hostCount, hasPart } of starts) {
+            it(name, () => {
+                const budget = createHostRetryBudget(bound, 0);
+                if (hostCount !== undefined) {
+                    budget.setHostCount(hostCount);
+                }
+                expect([budget.reserveShare(now) > 0, budget.tryTake(service, now)]).to.deep.equal([hasPart, hasPart]);
+            });
+        }
+    });
+
     it("does not grow when a lower host count is received", () => {
-        const budget = createHostRetryBudget(bound, 40);
+        const budget = createSettledRetryBudget(bound, 40);
         budget.setHostCount(2);
         let taken = 0;
         while (budget.tryTake(service, 0)) {
--- a/packages/core/src/test/lost-path-fleet.ts
+++ b/packages/core/src/test/lost-path-fleet.ts
@@ -3,7 +3,6 @@
     AttemptOutcome,
     computeEntryPeers,
     createFleetMachine,
-    createHostRetryBudget,
     createPathMonitor,
     createPeerSelector,
     createRandom,
@@ -36,6 +35,7 @@
 import { exchangeReports } from "./lost-path-reports.js";
 import { Connection } from "./lost-path-scenario.js";
 import type { ConnectionTally, Outcome, Scenario, SimulatedHost } from "./lost-path-scenario.js";
+import { createSettledRetryBudget } from "./settled-retry-budget.js";
 import { createSimulatedServers, regions, services, zoneDelay, zones } from "./simulated-site.js";
 
 /** From this long after a cut began, the rule of the users' pages holds. */
@@ -131,7 +131,7 @@
     const hosts = Array.from({ length: hostCount }, (_, index) => createHost(index));
     const hostById = new Map(hosts.map(host => [host.hostId, host]));
     hosts.forEach(recordPhase);
-    const budgets = hosts.map(() => createHostRetryBudget({ ratio: 0.2, reserve: 58, windowMs: 10_000 }, hostCount));
+    const budgets = hosts.map(() => createSettledRetryBudget({ ratio: 0.2, reserve: 58, windowMs: 10_000 }, hostCount));
 
     /** One attempt of `host` at a server. */
     const sendToServer = (
--- a/packages/core/src/test/retry-budget-fleet.ts
+++ b/packages/core/src/test/retry-budget-fleet.ts
@@ -83,10 +83,10 @@
     const requests: number[] = [];
     const retries: number[] = [];
 
-    const startHost = (): TestHost => ({
-        budget: createHostRetryBudget(load.bound, 50),
-        clockOffsetMs: random.below(maxClockOffsetMs),
-    });
+    const startHost = (): TestHost => {
+        const clockOffsetMs = random.below(maxClockOffsetMs);
+        return { budget: createHostRetryBudget(load.bound, timeline.now() + clockOffsetMs), clockOffsetMs };
+    };
     const hosts = Array.from({ length: load.hostCount }, startHost);
     const tellHostCount = (host: number): void => hosts[host]!.budget.setHostCount(load.hostCount + (load.joins?.length ?? 0));
     hosts.forEach(({ budget }) => budget.setHostCount(load.hostCount));
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -38,8 +38,8 @@
 const unconfirmedConfigFallbackMs = 3000;
 /** Interval at which servers whose path is lost may be tried, in milliseconds. */
 const pathTickMs = 100;
-/** Number of entry hosts that share the retry reserve, assumed until a state host sends the actual number. */
-const initialHostCount = 50;
+/** Number of entry hosts that share the room at servers, assumed until a state host sends the actual number. */
+const assumedHostCount = 50;
 
 /** Starts an entry host; the promise resolves once it listens. */
 export const startEntryGateway = async (options: EntryGatewayOptions): Promise<EntryGateway> => {
@@ -79,12 +79,19 @@
             updatePhase();
         },
     });
-    const retryBudget = createHostRetryBudget(options.retryBound, initialHostCount);
+    const retryBudget = createHostRetryBudget(options.retryBound, monotonicStartMs);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
     const configInForce = createConfigInForce({ ...options, viewAgeMs: () => link.viewAgeMs() });
-    let hostCount = initialHostCount;
-    const admission = createAdmissionQueue({ pool, random: options.random, clock, hostCount: () => hostCount, log, metrics });
+    let hostCount: number | undefined;
+    const admission = createAdmissionQueue({
+        pool,
+        random: options.random,
+        clock,
+        hostCount: () => hostCount ?? assumedHostCount,
+        log,
+        metrics,
+    });
     let serversRevision = 0;
     let phase = HostPhase.Leaving;
     let isStopping = false;
@@ -144,6 +151,13 @@
         metrics,
     });
 
+    /** A state host that has just started may know a part of the hosts only, so its number counts once its view is confirmed. */
+    const confirmHostCount = (): void => {
+        if (hostCount !== undefined && isViewFresh()) {
+            retryBudget.setHostCount(hostCount);
+        }
+    };
+
     const applyConfig = (newConfig: GatewayConfig | undefined): void => {
         if (newConfig === undefined || !configInForce.apply(newConfig)) {
             return;
@@ -181,7 +195,6 @@
         },
         [LinkMessageKind.Servers]: message => applyServers(message.rows, message.revision),
         [LinkMessageKind.Contacts]: message => {
-            retryBudget.setHostCount(message.entryHosts);
             hostCount = message.entryHosts;
         },
         [LinkMessageKind.RelayedReports]: ({ h }) => {
@@ -230,6 +243,7 @@
         receive: message => {
             // The key of a handler is the kind of its messages; the compiler can't infer this from the lookup.
             (handlers[message.k] as ((message: LinkMessage) => void) | undefined)?.(message);
+            confirmHostCount();
             updatePhase();
         },
         onQuotaLink: () => quotas.linkChanged(),
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -105,10 +105,13 @@
             });
             pool.update(servers.map(server => server.record));
             const budgetBound = { ratio: 0.2, reserve: site.retryReserve, windowMs: 10_000 };
+            // The hosts have run for a while.
+            const retryBudget = createHostRetryBudget(budgetBound, -budgetBound.windowMs);
+            retryBudget.setHostCount(hostCount);
             return {
                 zone,
                 pool,
-                retryBudget: createHostRetryBudget(budgetBound, hostCount),
+                retryBudget,
                 latencies: createRouteLatencyTracker(),
                 reportKey: `${zone}-${index}`,
             };
