Count the requests of the same times on all hosts, so that their retry limits add up

Callers' requests were repeated beyond the fleet's bound when callers moved between hosts, when a burst ended, and when hosts restarted. Cause: a host could spend the credit of the window before a failure at once, while the hosts to which its callers moved, or the process that followed it, earned credit for the same callers again. Each kept to its limit, but for requests of different times, so the limits did not add up to the fleet's.

Each host now keeps to the limit of every window that contains the present, with fixed weights for the requests of the window itself and of the one half a window earlier; such a sum is never more than the larger of the two over the fleet. A host no longer needs the margin of 0.93 for this; it uses 0.97.

--- a/packages/core/src/lib/gateway/host-retry-budget.ts
+++ b/packages/core/src/lib/gateway/host-retry-budget.ts
@@ -1,10 +1,13 @@
 /**
  * Limits retries over the whole fleet without messages between hosts: each entry host may spend a fraction of its own
  * requests and an equal part of a fixed reserve. The budgets of all hosts add up to no more than the fleet's bound, also
- * during a network partition, and however often hosts restart.
+ * during a network partition, and however often hosts restart or callers move between them.
  */
 
-/** Bound for the fleet: retries in any window are at most `ratio` times the requests in it plus `reserve`. */
+/**
+ * Bound for the fleet: retries in any window are at most `ratio` times the requests plus `reserve`. The requests are those of the
+ * window itself or of the window half a window earlier, whichever are more.
+ */
 export interface RetryBound {
     ratio: number;
     reserve: number;
@@ -28,12 +31,20 @@
     reserveShare(now: number): number;
 }
 
-/** A retry counts until its whole slice has left the window, so one slice more than the window has is kept. */
-const sliceCount = 21;
-/** Fraction of the bound that is used; the rest covers hosts that are starting and differences between clocks. */
-const usableFraction = 0.93;
+/** Slices of a window. */
+const windowSlices = 40;
+const halfSlices = windowSlices / 2;
+/** A retry counts until its whole slice has left the window, and the requests of that window begin half a window earlier. */
+const keptSlices = windowSlices + halfSlices + 1;
+/**
+ * Weight of the requests of the window half a window earlier; those of the window itself have the rest. As the weights are the same
+ * on all hosts, their limits add up to at most the bound, whichever host receives the requests.
+ */
+const earlierWeight = 0.3;
+/** Fraction of the bound that is used; the rest covers the time between the start of a retry and its arrival at a server. */
+const usableFraction = 0.97;
 
-/** Ring buffers of counts by slice of the window. */
+/** Ring buffers of counts by slice. */
 interface Window {
     /** Number of the newest slice. */
     slice: number;
@@ -50,24 +61,24 @@
 /** Hedges leave at most this fraction of the budget to retries. */
 const maxReservedFraction = 0.8;
 
-const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+const indexOf = (slice: number): number => ((slice % keptSlices) + keptSlices) % keptSlices;
 
 /** Creates the budget of one host whose process started at `startedAt`. */
 export const createHostRetryBudget = (bound: RetryBound, startedAt: number): HostRetryBudget => {
     const windows = new Map<string, Window>();
-    const sliceMs = bound.windowMs / (sliceCount - 1);
+    const sliceMs = bound.windowMs / windowSlices;
     let hostCount: number | undefined;
 
-    const emptySlices = (): number[] => Array<number>(sliceCount).fill(0);
+    const emptySlices = (): number[] => Array<number>(keptSlices).fill(0);
 
     const currentWindow = (service: string, now: number): Window => {
         const slice = Math.floor(now / sliceMs);
         const window = windows.get(service)
             ?? { slice, requests: emptySlices(), retries: emptySlices(), wanted: 0, wantedAt: now };
         windows.set(service, window);
-        for (let expired = Math.max(window.slice + 1, slice - sliceCount + 1); expired <= slice; expired += 1) {
-            window.requests[expired % sliceCount] = 0;
-            window.retries[expired % sliceCount] = 0;
+        for (let expired = Math.max(window.slice + 1, slice - keptSlices + 1); expired <= slice; expired += 1) {
+            window.requests[indexOf(expired)] = 0;
+            window.retries[indexOf(expired)] = 0;
         }
         window.slice = Math.max(window.slice, slice);
         return window;
@@ -80,34 +91,60 @@
     const reserveShare = (now: number): number =>
         hostCount === undefined || now - startedAt < bound.windowMs ? 0 : bound.reserve / hostCount;
 
-    const limitAt = (window: Window, now: number): number =>
-        usableFraction * (bound.ratio * sum(window.requests) + reserveShare(now));
+    const requestsIn = (window: Window, slice: number): number => slice > window.slice ? 0 : window.requests[indexOf(slice)]!;
+
+    /**
+     * Returns how many retries are left by the strictest of the windows that contain the present, and the limit of the oldest one.
+     * The first slice of requests does not count, as a part of it may lie outside the window.
+     */
+    const remaining = (window: Window, now: number): { left: number; limit: number; } => {
+        const share = reserveShare(now);
+        const oldest = window.slice - windowSlices;
+        let ownRequests = 0;
+        let earlierRequests = 0;
+        for (let slice = window.slice - halfSlices + 1; slice <= window.slice; slice += 1) {
+            earlierRequests += requestsIn(window, slice);
+        }
+        let retries = 0;
+        let left = Infinity;
+        let limit = 0;
+        for (let start = window.slice; start >= oldest; start -= 1) {
+            retries += window.retries[indexOf(start)]!;
+            limit = usableFraction
+                * (bound.ratio * (earlierWeight * earlierRequests + (1 - earlierWeight) * ownRequests) + share);
+            left = Math.min(left, limit - retries);
+            ownRequests += requestsIn(window, start);
+            earlierRequests += requestsIn(window, start - halfSlices) - requestsIn(window, start + halfSlices - 1);
+        }
+        return { left, limit };
+    };
 
     /** Takes one if it leaves at least `reserved` of the budget. */
-    const take = (window: Window, reserved: number, now: number): boolean => {
-        if (sum(window.retries) + 1 + reserved > limitAt(window, now)) {
+    const take = (window: Window, reserved: (limit: number) => number, now: number): boolean => {
+        const { left, limit } = remaining(window, now);
+        if (left < 1 + reserved(limit)) {
             return false;
         }
-        window.retries[window.slice % sliceCount]! += 1;
+        window.retries[indexOf(window.slice)]! += 1;
         return true;
     };
 
     return {
         recordRequest: (service, now) => {
             const window = currentWindow(service, now);
-            window.requests[window.slice % sliceCount]! += 1;
+            window.requests[indexOf(window.slice)]! += 1;
         },
         tryTake: (service, now) => {
             const window = currentWindow(service, now);
             window.wanted = wantedAt(window, now) + 1;
             window.wantedAt = now;
-            return take(window, 0, now);
+            return take(window, () => 0, now);
         },
         tryTakeHedge: (service, now) => {
             const window = currentWindow(service, now);
             // The next window may ask for one standard deviation more than one window usually does.
             const wanted = wantedAt(window, now) / wantedWindows;
-            return take(window, Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limitAt(window, now)), now);
+            return take(window, limit => Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limit), now);
         },
         setHostCount: count => {
             // A partitioned host may receive too low a count; the highest count is the safe one.
