Count a retry when it is sent

Requests were repeated beyond the fleet's bound when many retries had waited for room at the servers and were sent at the same moment: a retry was counted when it was granted, up to seconds before it reached a server. It now counts in every window until it is sent, and from then on like others; a request that ends without sending it returns it.

So the margin for the delay is no longer needed; windows have 100 slices in place of 40, as the first slice of requests does not count, and the earlier window weighs 0.2. host-retry-budget_test keeps its bounds; "the whole budget" for hedges is the whole 58.

--- a/packages/core/src/lib/gateway/host-retry-budget.ts
+++ b/packages/core/src/lib/gateway/host-retry-budget.ts
@@ -14,17 +14,25 @@
     windowMs: number;
 }
 
+/** One retry or hedge that was taken out of a budget. It has to be used or returned; only the first call has an effect. */
+export interface RetryGrant {
+    /** Counts the retry from `now` on, when it is sent. Until then it counts in every window. */
+    use(now: number): void;
+    /** Returns a retry that won't be sent. */
+    giveBack(): void;
+}
+
 /** The retries that one entry host may send, by service. */
 export interface HostRetryBudget {
     /** Counts a caller's request to `service`. */
     recordRequest(service: string, now: number): void;
-    /** Takes one retry of a failed request out of the budget; returns `false` if none is left. */
-    tryTake(service: string, now: number): boolean;
+    /** Takes one retry of a failed request out of the budget; returns `undefined` if none is left. */
+    tryTake(service: string, now: number): RetryGrant | undefined;
     /**
      * Takes one hedge out of the budget. A hedge helps one slow request in many, and a retry helps each failed one, so as many
      * retries as the latest windows asked for are left and a few more, up to a bound.
      */
-    tryTakeHedge(service: string, now: number): boolean;
+    tryTakeHedge(service: string, now: number): RetryGrant | undefined;
     /** Sets the number of entry hosts that share the reserve; until it is known, this host has no part of it. */
     setHostCount(count: number): void;
     /** This host's part of the reserve, in retries. */
@@ -32,7 +40,7 @@
 }
 
 /** Slices of a window. */
-const windowSlices = 40;
+const windowSlices = 100;
 const halfSlices = windowSlices / 2;
 /** A retry counts until its whole slice has left the window, and the requests of that window begin half a window earlier. */
 const keptSlices = windowSlices + halfSlices + 1;
@@ -40,9 +48,7 @@
  * Weight of the requests of the window half a window earlier; those of the window itself have the rest. As the weights are the same
  * on all hosts, their limits add up to at most the bound, whichever host receives the requests.
  */
-const earlierWeight = 0.3;
-/** Fraction of the bound that is used; the rest covers the time between the start of a retry and its arrival at a server. */
-const usableFraction = 0.97;
+const earlierWeight = 0.2;
 
 /** Ring buffers of counts by slice. */
 interface Window {
@@ -51,6 +57,8 @@
     requests: number[];
     /** Retries and hedges that were sent. */
     retries: number[];
+    /** Retries and hedges that were granted and not sent yet. */
+    unsent: number;
     /** Retries of failed requests that were asked for, also in vain; decays exponentially. */
     wanted: number;
     wantedAt: number;
@@ -74,7 +82,7 @@
     const currentWindow = (service: string, now: number): Window => {
         const slice = Math.floor(now / sliceMs);
         const window = windows.get(service)
-            ?? { slice, requests: emptySlices(), retries: emptySlices(), wanted: 0, wantedAt: now };
+            ?? { slice, requests: emptySlices(), retries: emptySlices(), unsent: 0, wanted: 0, wantedAt: now };
         windows.set(service, window);
         for (let expired = Math.max(window.slice + 1, slice - keptSlices + 1); expired <= slice; expired += 1) {
             window.requests[indexOf(expired)] = 0;
@@ -105,13 +113,12 @@
         for (let slice = window.slice - halfSlices + 1; slice <= window.slice; slice += 1) {
             earlierRequests += requestsIn(window, slice);
         }
-        let retries = 0;
+        let retries = window.unsent;
         let left = Infinity;
         let limit = 0;
         for (let start = window.slice; start >= oldest; start -= 1) {
             retries += window.retries[indexOf(start)]!;
-            limit = usableFraction
-                * (bound.ratio * (earlierWeight * earlierRequests + (1 - earlierWeight) * ownRequests) + share);
+            limit = share + bound.ratio * (earlierWeight * earlierRequests + (1 - earlierWeight) * ownRequests);
             left = Math.min(left, limit - retries);
             ownRequests += requestsIn(window, start);
             earlierRequests += requestsIn(window, start - halfSlices) - requestsIn(window, start + halfSlices - 1);
@@ -120,13 +127,28 @@
     };
 
     /** Takes one if it leaves at least `reserved` of the budget. */
-    const take = (window: Window, reserved: (limit: number) => number, now: number): boolean => {
+    const take = (service: string, reserved: (limit: number) => number, now: number): RetryGrant | undefined => {
+        const window = currentWindow(service, now);
         const { left, limit } = remaining(window, now);
         if (left < 1 + reserved(limit)) {
-            return false;
+            return undefined;
         }
-        window.retries[indexOf(window.slice)]! += 1;
-        return true;
+        window.unsent += 1;
+        let isOpen = true;
+        const close = (): boolean => {
+            const wasOpen = isOpen;
+            window.unsent -= wasOpen ? 1 : 0;
+            isOpen = false;
+            return wasOpen;
+        };
+        return {
+            use: usedAt => {
+                if (close()) {
+                    currentWindow(service, usedAt).retries[indexOf(window.slice)]! += 1;
+                }
+            },
+            giveBack: () => void close(),
+        };
     };
 
     return {
@@ -138,13 +160,13 @@
             const window = currentWindow(service, now);
             window.wanted = wantedAt(window, now) + 1;
             window.wantedAt = now;
-            return take(window, () => 0, now);
+            return take(service, () => 0, now);
         },
         tryTakeHedge: (service, now) => {
             const window = currentWindow(service, now);
             // The next window may ask for one standard deviation more than one window usually does.
             const wanted = wantedAt(window, now) / wantedWindows;
-            return take(window, limit => Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limit), now);
+            return take(service, limit => Math.min(wanted + Math.sqrt(wanted), maxReservedFraction * limit), now);
         },
         setHostCount: count => {
             // A partitioned host may receive too low a count; the highest count is the safe one.
--- a/packages/core/src/lib/gateway/index.ts
+++ b/packages/core/src/lib/gateway/index.ts
@@ -15,6 +15,7 @@
 export * from "./path-monitor.js";
 export * from "./peer-selector.js";
 export * from "./request-attempts.js";
+export * from "./retry-grants.js";
 export * from "./route-index.js";
 export * from "./route-latency-tracker.js";
 export * from "./selection-weights.js";
--- a/packages/core/src/test/admission-fleet.ts
+++ b/packages/core/src/test/admission-fleet.ts
@@ -4,6 +4,7 @@
     AttemptOutcome,
     createRandom,
     createRequestAttempts,
+    createRetryGrants,
     createServerPool,
     createServiceAdmission,
     createWorkEstimate,
@@ -153,15 +154,17 @@
             const { name: route, priority, objectiveMs, repeatability } = caller.requestClass;
             const arrivedAt = now();
             budget.recordRequest(service, arrivedAt);
+            const retryGrants = createRetryGrants(budget, service, now);
             const attempts: RequestAttempts = createRequestAttempts({
                 repeatability,
                 maxServers: 2,
                 deadlineAt: caller.deadlineAt,
-                tryTakeRetry: () => budget.tryTake(service, now()),
+                tryTakeRetry: retryGrants.tryTakeRetry,
             });
             const tried = new Set<number>();
             let mayBeAtServer = false;
             const isRefused = (retryAfterMs: number): void => {
+                retryGrants.close();
                 play.untrueRefusals += mayBeAtServer ? 1 : 0;
                 refused(retryAfterMs);
             };
@@ -201,6 +204,7 @@
                 tried.add(number);
                 mayBeAtServer = true;
                 attempts.attemptStarted();
+                retryGrants.attemptStarted();
                 pool.requestStarted(number, startedAt);
                 let isEnded = false;
                 const job: Job = {
@@ -234,6 +238,7 @@
                     const action = attempts.attemptEnded(outcome, now());
                     if (action === RequestAction.Deliver) {
                         caller.servedAt ??= now();
+                        retryGrants.close();
                     }
                     else if (action === RequestAction.Retry) {
                         if (hasAdmission) {
--- a/packages/core/src/test/host-retry-budget_test.ts
+++ b/packages/core/src/test/host-retry-budget_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createHostRetryBudget, createRandom } from "../index.js";
-import { createSettledRetryBudget } from "./settled-retry-budget.js";
+import { createSettledRetryBudget, sendHedge, sendRetry } from "./settled-retry-budget.js";
 
 const bound = { ratio: 0.2, reserve: 58, windowMs: 10_000 };
 const service = "quotes";
@@ -20,7 +20,7 @@
                     const budget = budgets[random.below(now > 40_000 ? 5 : hostCount)]!;
                     budget.recordRequest(service, now);
                     requests.push(now);
-                    while (budget.tryTake(service, now)) {
+                    while (sendRetry(budget, service, now)) {
                         retries.push(now);
                     }
                 }
@@ -57,10 +57,10 @@
                 const kind = random.next();
                 if (kind < failing) {
                     result.wanted += 1;
-                    result.denied += budget.tryTake(service, now) ? 0 : 1;
+                    result.denied += sendRetry(budget, service, now) ? 0 : 1;
                 }
                 else if (kind < failing + slow) {
-                    const isTaken = isHedgeLikeRetry ? budget.tryTake(service, now) : budget.tryTakeHedge(service, now);
+                    const isTaken = isHedgeLikeRetry ? sendRetry(budget, service, now) : sendHedge(budget, service, now);
                     result.hedges += isTaken ? 1 : 0;
                 }
             }
@@ -79,18 +79,18 @@
         it("leaves the whole budget to hedges where no request fails at once", () => {
             const budget = createSettledRetryBudget(bound, 1);
             let taken = 0;
-            while (budget.tryTakeHedge(service, 0)) {
+            while (sendHedge(budget, service, 0)) {
                 taken += 1;
             }
-            expect(taken).to.equal(Math.floor(0.97 * bound.reserve));
+            expect(taken).to.equal(bound.reserve);
         });
 
         it("leaves a part of the budget to hedges", () => {
             const budget = createSettledRetryBudget(bound, 1);
             for (let count = 0; count < 10; count += 1) {
-                budget.tryTake(service, 0);
+                sendRetry(budget, service, 0);
             }
-            expect(budget.tryTakeHedge(service, 0)).to.equal(true);
+            expect(sendHedge(budget, service, 0)).to.equal(true);
         });
     });
 
@@ -106,7 +106,7 @@
                 if (hostCount !== undefined) {
                     budget.setHostCount(hostCount);
                 }
-                expect([budget.reserveShare(now) > 0, budget.tryTake(service, now)]).to.deep.equal([hasPart, hasPart]);
+                expect([budget.reserveShare(now) > 0, sendRetry(budget, service, now)]).to.deep.equal([hasPart, hasPart]);
             });
         }
     });
@@ -115,7 +115,7 @@
         const budget = createSettledRetryBudget(bound, 40);
         budget.setHostCount(2);
         let taken = 0;
-        while (budget.tryTake(service, 0)) {
+        while (sendRetry(budget, service, 0)) {
             taken += 1;
         }
         expect(taken).to.be.at.most(bound.reserve / 40);
--- a/packages/core/src/test/lost-path-fleet.ts
+++ b/packages/core/src/test/lost-path-fleet.ts
@@ -7,6 +7,7 @@
     createPeerSelector,
     createRandom,
     createRequestAttempts,
+    createRetryGrants,
     createServerPool,
     emptyFleetState,
     entryAddressesForCaller,
@@ -215,18 +216,18 @@
         served.sent += isCounted ? 1 : 0;
         const budget = budgets[host.index]!;
         budget.recordRequest(service, startedAt);
+        const retryGrants = createRetryGrants(budget, service, () => timeline.now());
         const attempts = createRequestAttempts({
             repeatability: Repeatability.AtMostOnce,
             maxServers: 2,
             deadlineAt: startedAt + deadlineMs,
-            tryTakeRetry: () => budget.tryTake(service, timeline.now()),
+            tryTakeRetry: retryGrants.tryTakeRetry,
         });
         const history = { servers: new Set<number>(), peers: new Set<string>() };
         const finish = (isServed: boolean): void => {
-            if (isServed) {
-                served.served += isCounted ? 1 : 0;
-            }
-            else {
+            retryGrants.close();
+            served.served += isServed && isCounted ? 1 : 0;
+            if (!isServed) {
                 outcome.longestRefusalMs = Math.max(outcome.longestRefusalMs, timeline.now() - startedAt);
             }
         };
@@ -251,6 +252,7 @@
                 return;
             }
             attempts.attemptStarted();
+            retryGrants.attemptStarted();
             if (plan.kind === "direct") {
                 const { server } = plan.choice;
                 history.servers.add(server.number);
--- a/packages/core/src/test/retry-budget-fleet.ts
+++ b/packages/core/src/test/retry-budget-fleet.ts
@@ -103,10 +103,12 @@
         if (attempts >= maxAttempts || random.next() >= load.declined(now - leadMs)) {
             return;
         }
-        if (!budget.tryTake(service, now + clockOffsetMs)) {
+        const grant = budget.tryTake(service, now + clockOffsetMs);
+        if (grant === undefined) {
             return;
         }
         timeline.after(load.waitMs?.(now - leadMs) ?? 1, () => {
+            grant.use(timeline.now() + clockOffsetMs);
             retries.push(timeline.now() - leadMs);
             timeline.after(networkMs, () => attemptEnded({ budget, clockOffsetMs }, attempts + 1));
         });
--- a/packages/core/src/test/settled-retry-budget.ts
+++ b/packages/core/src/test/settled-retry-budget.ts
@@ -7,3 +7,17 @@
     budget.setHostCount(hostCount);
     return budget;
 };
+
+/** Sends one retry if the budget allows it. */
+export const sendRetry = (budget: HostRetryBudget, service: string, now: number): boolean => {
+    const grant = budget.tryTake(service, now);
+    grant?.use(now);
+    return grant !== undefined;
+};
+
+/** Sends one hedge if the budget allows it. */
+export const sendHedge = (budget: HostRetryBudget, service: string, now: number): boolean => {
+    const grant = budget.tryTakeHedge(service, now);
+    grant?.use(now);
+    return grant !== undefined;
+};
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -3,6 +3,7 @@
     Admission,
     AttemptOutcome,
     createRequestAttempts,
+    createRetryGrants,
     pickDestination,
     planAttempt,
     Repeatability,
@@ -48,12 +49,13 @@
     const { route, requestKey } = req;
     const service = pickDestination(route.destinations, dependencies.random)?.service ?? "";
     dependencies.retryBudget.recordRequest(service, req.arrivedAt);
+    const retryGrants = createRetryGrants(dependencies.retryBudget, service, clock);
     const attempts: RequestAttempts = createRequestAttempts({
         repeatability: route.repeatability,
         maxServers: route.maxServers,
         deadlineAt: req.deadlineAt,
-        tryTakeRetry: () => dependencies.retryBudget.tryTake(service, clock()),
-        tryTakeHedge: () => dependencies.retryBudget.tryTakeHedge(service, clock()),
+        tryTakeRetry: retryGrants.tryTakeRetry,
+        tryTakeHedge: retryGrants.tryTakeHedge,
     });
     const attemptRequest: AttemptRequest = {
         requestId: req.requestId,
@@ -91,6 +93,7 @@
         }
         admission.leave(queued);
         turns.cancel();
+        retryGrants.close();
         for (const attempt of openAttempts) {
             attempt.cancel();
         }
@@ -180,6 +183,7 @@
 
     const startAttempt = (plan: StartablePlan, turn: Turn): void => {
         attempts.attemptStarted();
+        retryGrants.attemptStarted();
         const startedAt = clock();
         // The starter is looked up by the kind of the plan, which the compiler can't follow.
         const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
--- a/packages/measure/src/lib/gateway-fleet.ts
+++ b/packages/measure/src/lib/gateway-fleet.ts
@@ -5,6 +5,7 @@
     createHostRetryBudget,
     createRandom,
     createRequestAttempts,
+    createRetryGrants,
     createRouteLatencyTracker,
     createServerPool,
     Repeatability,
@@ -182,17 +183,18 @@
         const deadlineAt = startedAt + requestClass.timeoutMs;
         const tally = tallies.get(requestClass.name)!;
         host.retryBudget.recordRequest(requestClass.service, startedAt);
+        const retryGrants = createRetryGrants(host.retryBudget, requestClass.service, () => timeline.now());
         const attempts = createRequestAttempts({
             repeatability: requestClass.repeatability,
             maxServers: requestClass.maxServers,
             deadlineAt,
             tryTakeRetry: () => {
-                const isAllowed = host.retryBudget.tryTake(requestClass.service, timeline.now());
+                const isAllowed = retryGrants.tryTakeRetry();
                 result.retryCount += isAllowed ? 1 : 0;
                 return isAllowed;
             },
             tryTakeHedge: () => {
-                const isAllowed = host.retryBudget.tryTakeHedge(requestClass.service, timeline.now());
+                const isAllowed = retryGrants.tryTakeHedge();
                 result.retryCount += isAllowed ? 1 : 0;
                 return isAllowed;
             },
@@ -205,6 +207,7 @@
                 return;
             }
             isFinished = true;
+            retryGrants.close();
             openAttempts.forEach(end => end(AttemptOutcome.Cancelled));
             const elapsed = timeline.now() - startedAt;
             if (isServed && elapsed <= requestClass.timeoutMs) {
@@ -234,6 +237,7 @@
             result.inOtherRegion += delay === otherRegionDelayMs ? 1 : 0;
             attemptedServers.add(number);
             attempts.attemptStarted();
+            retryGrants.attemptStarted();
             const survival = (elapsedMs: number): number =>
                 host.latencies.survival(requestClass.name, requestClass.objectiveMs, elapsedMs);
             host.pool.requestStarted(number, sentAt, strategy.ignoresWaits === true ? undefined : survival);
