--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -24,6 +24,7 @@
 import { createForwardServer } from "./forward-server.js";
 import { createGatewayMetrics } from "./gateway-metrics.js";
 import { createGatewayQuarantine } from "./gateway-quarantine.js";
+import { createHostCount } from "./host-count.js";
 import { connectTcp } from "./http-call.js";
 import { createQuotaGate } from "./quota-gate.js";
 import { applyRemoteReports, applyZoneReports } from "./received-reports.js";
@@ -38,8 +39,6 @@
 const unconfirmedConfigFallbackMs = 3000;
 /** Interval at which servers whose path is lost may be tried, in milliseconds. */
 const pathTickMs = 100;
-/** Number of entry hosts that share the room at servers, assumed until a state host sends the actual number. */
-const assumedHostCount = 50;
 
 /** Starts an entry host; the promise resolves once it listens. */
 export const startEntryGateway = async (options: EntryGatewayOptions): Promise<EntryGateway> => {
@@ -83,21 +82,13 @@
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
     const configInForce = createConfigInForce({ ...options, viewAgeMs: () => link.viewAgeMs() });
-    let hostCount: number | undefined;
-    const admission = createAdmissionQueue({
-        pool,
-        random: options.random,
-        clock,
-        hostCount: () => hostCount ?? assumedHostCount,
-        log,
-        metrics,
-    });
+    const isViewFresh = (): boolean => link.viewAgeMs() <= options.applyWithinMs;
+    const hostCount = createHostCount({ ...options, retryBudget, isViewFresh });
+    const admission = createAdmissionQueue({ ...options, pool, hostCount: hostCount.latest, metrics });
     let serversRevision = 0;
     let phase = HostPhase.Leaving;
     let isStopping = false;
 
-    const isViewFresh = (): boolean => link.viewAgeMs() <= options.applyWithinMs;
-
     const requestQuarantine = createGatewayQuarantine({
         ...options,
         pool,
@@ -144,20 +135,13 @@
         run: req =>
             answerMemory.refusal(req)
                 ?? quotas.run(req, () =>
-                    runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, random: options.random })),
+                    runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, metrics, random: options.random })),
         answerWriter,
         clock,
         log,
         metrics,
     });
 
-    /** A state host that has just started may know a part of the hosts only, so its number counts once its view is confirmed. */
-    const confirmHostCount = (): void => {
-        if (hostCount !== undefined && isViewFresh()) {
-            retryBudget.setHostCount(hostCount);
-        }
-    };
-
     const applyConfig = (newConfig: GatewayConfig | undefined): void => {
         if (newConfig === undefined || !configInForce.apply(newConfig)) {
             return;
@@ -195,7 +179,7 @@
         },
         [LinkMessageKind.Servers]: message => applyServers(message.rows, message.revision),
         [LinkMessageKind.Contacts]: message => {
-            hostCount = message.entryHosts;
+            hostCount.named(message.entryHosts);
         },
         [LinkMessageKind.RelayedReports]: ({ h }) => {
             applyZoneReports(pool, h, clock());
@@ -243,7 +227,7 @@
         receive: message => {
             // The key of a handler is the kind of its messages; the compiler can't infer this from the lookup.
             (handlers[message.k] as ((message: LinkMessage) => void) | undefined)?.(message);
-            confirmHostCount();
+            hostCount.confirm();
             updatePhase();
         },
         onQuotaLink: () => quotas.linkChanged(),
@@ -311,6 +295,8 @@
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
                 cassiapick_peers: peers.size(),
+                cassiapick_entry_hosts: hostCount.confirmed(),
+                cassiapick_retry_reserve_share: retryBudget.reserveShare(clock()),
                 ...requestQuarantine.gauges(),
                 cassiapick_answer_bytes_held: answerMemory.budget.held(),
                 cassiapick_large_answers_open: answerWriter.openLargeAnswers(),
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -3,7 +3,6 @@
     Admission,
     AttemptOutcome,
     createRequestAttempts,
-    createRetryGrants,
     pickDestination,
     planAttempt,
     Repeatability,
@@ -16,7 +15,10 @@
 import { ReplyKind } from "./caller-request.js";
 import type { CallerRequest, Reply, RequestRun } from "./caller-request.js";
 import { startForwardAttempt } from "./forward-attempt.js";
+import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { ServerAnswer } from "./http-call.js";
+import { createRequestRetries } from "./request-retries.js";
+import type { RetryReason } from "./request-retries.js";
 import { startServerAttempt } from "./server-attempt.js";
 import type { ServerAttemptDependencies } from "./server-attempt.js";
 
@@ -28,6 +30,7 @@
     /** The entry hosts that send requests to servers while this host has no path to them. */
     peers: PeerSelector;
     random: Random;
+    metrics: Pick<GatewayMetrics, "increment">;
 }
 
 /**
@@ -49,13 +52,13 @@
     const { route, requestKey } = req;
     const service = pickDestination(route.destinations, dependencies.random)?.service ?? "";
     dependencies.retryBudget.recordRequest(service, req.arrivedAt);
-    const retryGrants = createRetryGrants(dependencies.retryBudget, service, clock);
+    const retries = createRequestRetries({ ...dependencies, service });
     const attempts: RequestAttempts = createRequestAttempts({
         repeatability: route.repeatability,
         maxServers: route.maxServers,
         deadlineAt: req.deadlineAt,
-        tryTakeRetry: retryGrants.tryTakeRetry,
-        tryTakeHedge: retryGrants.tryTakeHedge,
+        tryTakeRetry: retries.tryTakeRetry,
+        tryTakeHedge: retries.tryTakeHedge,
     });
     const attemptRequest: AttemptRequest = {
         requestId: req.requestId,
@@ -77,6 +80,8 @@
     const timers = new Set<NodeJS.Timeout>();
     let resolveReply: (reply: Reply) => void = () => undefined;
     let isConcluded = false;
+    /** Why the next attempt is made; `undefined` for the first one. */
+    let retryReason: RetryReason | undefined;
     /** The last server error, delivered if no other attempt succeeds. */
     let serverErrorAnswer: ServerAnswer | undefined;
     const reply = new Promise<Reply>(resolve => {
@@ -93,7 +98,7 @@
         }
         admission.leave(queued);
         turns.cancel();
-        retryGrants.close();
+        retries.close();
         for (const attempt of openAttempts) {
             attempt.cancel();
         }
@@ -135,6 +140,8 @@
         conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
     };
 
+    const deniedNote = (): string => retries.isDenied() ? "; the retry budget is spent" : "";
+
     type ActionHandler = (result: AttemptResult) => void;
     const actionHandlers: Record<RequestAction, ActionHandler> = {
         [RequestAction.Deliver]: ({ answer, detail, server }) => {
@@ -143,9 +150,12 @@
                 conclude({ kind: ReplyKind.Answer, answer, serverId, attemptCount: attempts.attemptCount(), detail });
             }
         },
-        [RequestAction.Retry]: () => tryNextServer(),
-        [RequestAction.Refuse]: ({ outcome }) => refuse(`last send: ${outcome}`),
-        [RequestAction.Fail]: ({ outcome, detail }) => fail(`${outcome}: ${detail}`),
+        [RequestAction.Retry]: ({ outcome }) => {
+            retryReason = outcome;
+            tryNextServer();
+        },
+        [RequestAction.Refuse]: ({ outcome }) => refuse(`last send: ${outcome}${deniedNote()}`),
+        [RequestAction.Fail]: ({ outcome, detail }) => fail(`${outcome}: ${detail}${deniedNote()}`),
         [RequestAction.Wait]: () => undefined,
     };
 
@@ -159,7 +169,7 @@
             }
             const plan = planNextAttempt();
             if (plan.kind !== "none" && admission.hasRoomForHedges(service) && attempts.tryHedge(clock())) {
-                turns.take(turn => startAttempt(plan, turn), () => undefined);
+                turns.take(turn => startAttempt(plan, turn, "hedge"), () => undefined);
             }
         });
     };
@@ -181,9 +191,9 @@
         },
     };
 
-    const startAttempt = (plan: StartablePlan, turn: Turn): void => {
+    const startAttempt = (plan: StartablePlan, turn: Turn, reason: RetryReason | undefined): void => {
         attempts.attemptStarted();
-        retryGrants.attemptStarted();
+        retries.attemptStarted(reason);
         const startedAt = clock();
         // The starter is looked up by the kind of the plan, which the compiler can't follow.
         const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
@@ -276,7 +286,7 @@
         }
         const plan = planNextAttempt();
         if (plan.kind !== "none") {
-            startAttempt(plan, turn);
+            startAttempt(plan, turn, retryReason);
             return;
         }
         turns.end(turn);
--- a/packages/gateway/src/test/admission-queue_test.ts
+++ b/packages/gateway/src/test/admission-queue_test.ts
@@ -1,11 +1,4 @@
-import {
-    createHostRetryBudget,
-    createPeerSelector,
-    createRandom,
-    createServerPool,
-    Repeatability,
-    ServingState,
-} from "@cassiapick/core";
+import { createPeerSelector, createRandom, createServerPool, Repeatability, ServingState } from "@cassiapick/core";
 import type { ServiceRoom } from "@cassiapick/core";
 import { expect } from "chai";
 import { createServer } from "node:net";
@@ -15,7 +8,7 @@
 import { ReplyKind } from "../lib/caller-request.js";
 import { connectTcp } from "../lib/http-call.js";
 import { runRequest } from "../lib/request-runner.js";
-import { createLoneHost, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import { createLoneHost, createTestRetryBudget, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
 
 const service = testServer.service;
 const free: ServiceRoom = { slots: 3, slotsPerServer: 3, excess: -1 };
@@ -188,7 +181,7 @@
                 clock: testClock,
                 ...createLoneHost(),
                 admission: createRefusingQueue(passed),
-                retryBudget: createHostRetryBudget({ ratio: 0.2, reserve: 10, windowMs: 10_000 }, 1),
+                retryBudget: createTestRetryBudget(),
                 peers: createPeerSelector(locality, random),
                 random,
             });
--- a/packages/gateway/src/test/request-access_test.ts
+++ b/packages/gateway/src/test/request-access_test.ts
@@ -1,4 +1,4 @@
-import { createHostRetryBudget, createPeerSelector, createRandom, createServerPool, Repeatability } from "@cassiapick/core";
+import { createPeerSelector, createRandom, createServerPool, Repeatability } from "@cassiapick/core";
 import { expect } from "chai";
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
@@ -7,7 +7,15 @@
 import type { AccessLossReply } from "../lib/caller-request.js";
 import { connectTcp } from "../lib/http-call.js";
 import { runRequest } from "../lib/request-runner.js";
-import { createLoneHost, createTestAdmission, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import {
+    createLoneHost,
+    createTestAdmission,
+    createTestRetryBudget,
+    intactPath,
+    testClock,
+    testHeaderNames,
+    testServer,
+} from "./test-gateway.js";
 
 const timeoutMs = 2000;
 const withdrawn: AccessLossReply = { kind: ReplyKind.Unauthorized, reason: "the key of the request was withdrawn" };
@@ -105,7 +113,7 @@
                 clock: testClock,
                 ...createLoneHost(),
                 admission: createTestAdmission(pool),
-                retryBudget: createHostRetryBudget({ ratio: 1, reserve: 10, windowMs: 10_000 }, 1),
+                retryBudget: createTestRetryBudget(),
                 peers: createPeerSelector(locality, random),
                 random,
             });
--- a/packages/gateway/src/test/request-runner_test.ts
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -1,11 +1,4 @@
-import {
-    createHostRetryBudget,
-    createPeerSelector,
-    createRandom,
-    createServerPool,
-    Repeatability,
-    ServingState,
-} from "@cassiapick/core";
+import { createPeerSelector, createRandom, createServerPool, Repeatability, ServingState } from "@cassiapick/core";
 import { expect } from "chai";
 import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
@@ -13,7 +6,15 @@
 import { connectTcp } from "../lib/http-call.js";
 import type { Connect } from "../lib/http-call.js";
 import { runRequest } from "../lib/request-runner.js";
-import { createLoneHost, createTestAdmission, intactPath, testClock, testHeaderNames, testServer } from "./test-gateway.js";
+import {
+    createLoneHost,
+    createTestAdmission,
+    createTestRetryBudget,
+    intactPath,
+    testClock,
+    testHeaderNames,
+    testServer,
+} from "./test-gateway.js";
 
 const timeoutMs = 120;
 
@@ -79,7 +80,7 @@
                 clock: testClock,
                 ...createLoneHost(),
                 admission: createTestAdmission(pool),
-                retryBudget: createHostRetryBudget({ ratio: 0.2, reserve: 10, windowMs: 10_000 }, 1),
+                retryBudget: createTestRetryBudget(),
                 peers: createPeerSelector(locality, random),
                 random,
             });
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -1,12 +1,13 @@
 /** What several tests of the gateway use. */
 import {
     createByteBudget,
+    createHostRetryBudget,
     createRandom,
     createRequestQuarantine,
     createRouteLatencyTracker,
     ServingState,
 } from "@cassiapick/core";
-import type { FleetServer, PathMonitor, RequestQuarantine, ServerPool } from "@cassiapick/core";
+import type { FleetServer, HostRetryBudget, PathMonitor, RequestQuarantine, ServerPool } from "@cassiapick/core";
 import { createAdmissionQueue } from "../lib/admission-queue.js";
 import type { AdmissionQueue } from "../lib/admission-queue.js";
 import { createAnswerWriter } from "../lib/answer-writer.js";
@@ -48,12 +49,16 @@
         onQuarantineChanged: () => undefined,
     });
 
+/** Counts nothing. */
+export const testMetrics = { increment: () => undefined, observe: () => undefined };
+
 /** The check of a host whose servers never end. */
 const noServerEnds: ServerEndCheck = { hasEnded: () => Promise.resolve(false) };
 
 /** Dependencies of attempts on a host that is alone and reports nothing. */
 export const createLoneHost = () => ({
     latencies: createRouteLatencyTracker(),
+    metrics: testMetrics,
     quarantine: createTestQuarantine(),
     serverEndCheck: noServerEnds,
     log: { log: () => undefined },
@@ -70,9 +75,17 @@
         clock: testClock,
         hostCount: () => 1,
         log: { log: () => undefined },
-        metrics: { increment: () => undefined, observe: () => undefined },
+        metrics: testMetrics,
     });
 
+/** The retry budget of a host that is alone and has run for a while. */
+export const createTestRetryBudget = (): HostRetryBudget => {
+    const bound = { ratio: 0.2, reserve: 10, windowMs: 10_000 };
+    const budget = createHostRetryBudget(bound, testClock() - bound.windowMs);
+    budget.setHostCount(1);
+    return budget;
+};
+
 /** The only server of service "quotes", without an address. */
 export const testServer: FleetServer = {
     number: 1,
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -166,6 +166,10 @@
         "CP4022",
         "A request was refused while room was short, before it was sent to a server; the fields show what decided it.",
     ),
+    hostCountConfirmed: info(
+        "CP4023",
+        "A confirmed view names another number of entry hosts; each has an equal part of the reserve of retries.",
+    ),
     callerLeft: info("CP4006", "The caller disconnected before its answer; the open attempts of its request are cancelled."),
     serverUpdated: info("CP3006", "The record of a backend server has changed."),
     serverSuspected: info("CP3007", "A backend server is suspected, because requests to it fail; it is avoided."),
