--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -171,6 +171,11 @@
         "A confirmed view names another number of entry hosts; each has an equal part of the reserve of retries.",
     ),
     callerLeft: info("CP4006", "The caller disconnected before its answer; the open attempts of its request are cancelled."),
+    announcementRejected: warn(
+        "CP3019",
+        "An announcement of a backend server can't be used, and names no server; the records of others hold.",
+        "Find the process that sends it by serverId; the answer to it says what is expected.",
+    ),
     serverUpdated: info("CP3006", "The record of a backend server has changed."),
     serverSuspected: info("CP3007", "A backend server is suspected, because requests to it fail; it is avoided."),
     serverTrusted: info("CP3008", "A backend server that was suspected gets requests again."),
