End only the request that an exception belongs to

The queue clears its mark in any case and refuses the request; a call whose address or head can't be sent ends as not sent; errors in timers and in the end of attempts end their request, and a turn that was taken is given back. Names of workspaces are sent in UTF-8. Long timers are cut off at what Node.js can wait for, as they fired at once. The recording of facts on state hosts clears its mark too.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -159,8 +159,12 @@
         const facts = livenessMonitor.missingFacts(fleet, clock());
         if (facts.length > 0) {
             isRecordingFacts = true;
-            await recordFacts(facts);
-            isRecordingFacts = false;
+            try {
+                await recordFacts(facts);
+            }
+            finally {
+                isRecordingFacts = false;
+            }
         }
     };
 
--- a/packages/gateway/src/lib/admission-queue.ts
+++ b/packages/gateway/src/lib/admission-queue.ts
@@ -41,6 +41,8 @@
     gauges(): Record<string, number>;
 }
 
+/** When a request may return that met an internal fault, in milliseconds. */
+const faultRetryMs = 200;
 /** Interval at which waiting requests are checked without another event; it is varied, so that hosts don't act at once. */
 const pollMs = { min: 15, jitter: 30 } as const;
 
@@ -108,20 +110,36 @@
         req.refuse(`too little room at the servers of '${service}': ${refusal}`, retryAfterMs);
     };
 
+    /** A fault of one request ends that request alone. */
+    const carryOutSafely = (service: string, decision: AdmissionDecision<QueuedRequest>): void => {
+        try {
+            carryOut(service, decision);
+        }
+        catch (err) {
+            const { message, stack } = err as Error;
+            log.log("internalFault", { requestId: decision.req.requestId, message, stack });
+            decision.req.refuse(`internal fault: ${message}`, faultRetryMs);
+        }
+    };
+
     const wake = (service: string): void => {
         const admission = admissionOf(service);
         if (inProgress.has(service)) {
             return;
         }
         inProgress.add(service);
-        for (;;) {
-            const decision = admission.next(pool.room(service, clock()), clock());
-            if (decision === undefined) {
-                break;
+        try {
+            for (;;) {
+                const decision = admission.next(pool.room(service, clock()), clock());
+                if (decision === undefined) {
+                    break;
+                }
+                carryOutSafely(service, decision);
             }
-            carryOut(service, decision);
         }
-        inProgress.delete(service);
+        finally {
+            inProgress.delete(service);
+        }
         logShortage(service, admission);
         if (admission.size() > 0 && pollTimer === undefined) {
             pollTimer = setTimeout(() => {
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -7,8 +7,7 @@
 import { splitAddress } from "@cassiapick/wire";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
-import { connect } from "node:net";
-import type { Socket } from "node:net";
+import { connect, Socket } from "node:net";
 import { afterArrivedEvents } from "./after-arrived-events.js";
 import { headerValue } from "./headers.js";
 import type { RawHeaders } from "./headers.js";
@@ -107,11 +106,26 @@
     return headerValue(headers, "transfer-encoding") === undefined ? "with Content-Length" : "chunked";
 };
 
-/** Opens a TCP connection. */
-export const connectTcp: Connect = (address, localAddress) => connect({ ...splitAddress(address), localAddress, noDelay: true });
+/** Opens a TCP connection; one to an address that can't be used fails like one that is refused. */
+export const connectTcp: Connect = (address, localAddress) => {
+    try {
+        return connect({ ...splitAddress(address), localAddress, noDelay: true });
+    }
+    catch (err) {
+        const socket = new Socket();
+        process.nextTick(() => socket.destroy(err as Error));
+        return socket;
+    }
+};
 
-/** Starts a call. */
-export const startHttpCall = (call: HttpCall, options: HttpCallOptions): HttpCallInFlight => {
+/** A call that could not be started, so that no byte was sent. */
+const failedCall = (err: unknown): HttpCallInFlight => ({
+    result: Promise.resolve({ outcome: AttemptOutcome.NotSent, detail: `the request can't be sent: ${(err as Error).message}` }),
+    mayHaveBeenSent: () => false,
+    cancel: () => undefined,
+});
+
+const startOn = (socket: Socket, call: HttpCall, options: HttpCallOptions): HttpCallInFlight => {
     let resolveResult: (result: HttpCallResult) => void = () => undefined;
     const result = new Promise<HttpCallResult>(resolve => {
         resolveResult = resolve;
@@ -124,7 +138,6 @@
     let response: IncomingMessage | undefined;
     /** Whether the peer may run the request: it has a connection, and has confirmed that it reads the request if it must. */
     let mayRun = false;
-    const socket = (options.connect ?? connectTcp)(call.address, options.localAddress);
     // If a reset has already arrived when the last bytes are read, the event loop reports an orderly end, but the socket
     // has no remote address any more. This listener must run before those that close the socket.
     let wasReset = false;
@@ -262,3 +275,15 @@
         cancel: () => finish(AttemptOutcome.Cancelled, "cancelled"),
     };
 };
+
+/** Starts a call. One with a head that can't be sent, such as an invalid header, ends as not sent. */
+export const startHttpCall = (call: HttpCall, options: HttpCallOptions): HttpCallInFlight => {
+    const socket = (options.connect ?? connectTcp)(call.address, options.localAddress);
+    try {
+        return startOn(socket, call, options);
+    }
+    catch (err) {
+        socket.on("error", () => undefined).destroy();
+        return failedCall(err);
+    }
+};
--- a/packages/gateway/src/lib/incoming-request.ts
+++ b/packages/gateway/src/lib/incoming-request.ts
@@ -39,7 +39,8 @@
         headerNames.workspace,
     ]);
     if (workspaceName !== undefined) {
-        headers.push(headerNames.workspace, workspaceName);
+        // Node.js encodes each character of a header as one byte.
+        headers.push(headerNames.workspace, Buffer.from(workspaceName, "utf8").toString("latin1"));
     }
     const hasContentLength = body.length > 0
         || ["content-length", "transfer-encoding"].some(name => headerValue(req.rawHeaders, name) !== undefined);
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -40,6 +40,9 @@
  */
 const retryAfterRanges = { free: { minMs: 40, jitterMs: 80 }, full: { minMs: 150, jitterMs: 250 } } as const;
 
+/** Longer delays would end at once, in milliseconds; a request that is still open then has waited for weeks. */
+const maxTimerMs = 2 ** 31 - 1;
+
 /** What the end of an attempt says about the room at its server. */
 const roomOutcomes: Partial<Record<AttemptOutcome, AdmittedEnd["outcome"]>> = {
     [AttemptOutcome.Answered]: "answered",
@@ -120,11 +123,27 @@
                 : { kind: ReplyKind.Answer, answer: serverErrorAnswer, attemptCount: attempts.attemptCount(), detail: reason },
         );
 
+    /** Ends the request after an error of this program, so that other requests go on. */
+    const endFaulty = (err: unknown): void => {
+        const { message, stack } = err as Error;
+        dependencies.log.log("internalFault", { requestId: req.requestId, message, stack });
+        if (mayHaveRun()) {
+            fail(`internal fault: ${message}`);
+            return;
+        }
+        refuse(`internal fault: ${message}`);
+    };
+
     const schedule = (delayMs: number, callback: () => void): void => {
         const timer = setTimeout(() => {
             timers.delete(timer);
-            callback();
-        }, delayMs);
+            try {
+                callback();
+            }
+            catch (err) {
+                endFaulty(err);
+            }
+        }, Math.min(delayMs, maxTimerMs));
         timers.add(timer);
     };
 
@@ -191,12 +210,23 @@
         },
     };
 
+    const startOf = (plan: StartablePlan, turn: Turn): Attempt => {
+        try {
+            // The starter is looked up by the kind of the plan, which the compiler can't follow.
+            return (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
+        }
+        catch (err) {
+            turns.end(turn);
+            attempts.attemptWithdrawn();
+            throw err;
+        }
+    };
+
     const startAttempt = (plan: StartablePlan, turn: Turn, reason: RetryReason | undefined): void => {
         attempts.attemptStarted();
         retries.attemptStarted(reason);
         const startedAt = clock();
-        // The starter is looked up by the kind of the plan, which the compiler can't follow.
-        const attempt = (starters[plan.kind] as (plan: StartablePlan) => Attempt)(plan);
+        const attempt = startOf(plan, turn);
         openAttempts.add(attempt);
         if (route.repeatability === Repeatability.Repeatable) {
             scheduleHedge(attempt);
@@ -225,7 +255,7 @@
             if (!isConcluded) {
                 actionHandlers[action](result);
             }
-        });
+        }).catch(endFaulty);
     };
 
     /** Starts the next attempt after the wait for room, as soon as it has its turn. */
--- a/packages/gateway/src/test/admission-queue_test.ts
+++ b/packages/gateway/src/test/admission-queue_test.ts
@@ -93,6 +93,27 @@
             seen: ["hedges: true", "roomShort", "hedges: false"],
         },
     ];
+    it("goes on with other requests after an error of one of them", () => {
+        const { queue, seen, enter } = createTestQueue();
+        const fault = (): never => {
+            throw new Error("no such port");
+        };
+        queue.enter({
+            requestId: "faulty",
+            requestKey: "k0",
+            service,
+            route: "route",
+            priority: 0,
+            objectiveMs: 100,
+            arrivedAt: 0,
+            deadlineAt: 5000,
+            proceed: fault,
+            refuse: reason => seen.push(reason),
+        });
+        enter(5000);
+        expect(seen).to.deep.equal(["internalFault", "internal fault: no such port", "sent after 0 ms"]);
+    });
+
     for (const { name, play, seen } of cases) {
         it(name, () => {
             const test = createTestQueue();
