Take no refusal of another request for this one's

Each attempt has a connection of its own, so an earlier refusal can't be left over on it; a server that sends a foreign one first was still believed. Such an answer now breaks the attempt.

exchange_test: both new cases failed before. A head that stops halfway (the report 'a 200 with an empty or short body') can't happen here: eight new cases with heads of 15 to 65 bytes, closed or reset, are 'broken' and were before.

--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -80,25 +80,29 @@
     return restStatuses.has(status) && restMs > 0 ? Math.min(restMs, maxRestMs) : undefined;
 };
 
-/** Whether an answer comes from the server that the request was sent to, and belongs to the request. */
-const isOwnAnswer = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): boolean => {
+/** Whether an answer belongs to the request, by the id that it echoes. */
+const isForRequest = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): boolean => {
     const echoedId = headerValue(res.rawHeaders, names.requestId);
-    return res.statusCode !== misdirectedStatus && (requestId === undefined || echoedId === undefined || echoedId === requestId);
+    return requestId === undefined || echoedId === undefined || echoedId === requestId;
 };
 
+/** Whether an answer comes from the server that the request was sent to, and belongs to the request. */
+const isOwnAnswer = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): boolean =>
+    res.statusCode !== misdirectedStatus && isForRequest(res, requestId, names);
+
 /** Returns the outcome if the status and the headers already rule the answer out. */
 const rejectionOf = (res: IncomingMessage, requestId: string | undefined, names: HeaderNames): AttemptOutcome | undefined => {
     const status = res.statusCode ?? 0;
+    // An answer to another request proves nothing about this one, not even that it has not run.
+    if (!isForRequest(res, requestId, names)) {
+        return AttemptOutcome.Broken;
+    }
     if (headerValue(res.rawHeaders, names.notRun) !== undefined) {
         return AttemptOutcome.Declined;
     }
     if (status === misdirectedStatus) {
         return AttemptOutcome.WrongServer;
     }
-    const echoedId = headerValue(res.rawHeaders, names.requestId);
-    if (requestId !== undefined && echoedId !== undefined && echoedId !== requestId) {
-        return AttemptOutcome.Broken;
-    }
     const isSuccess = status >= 200 && status < 300;
     if ((isSuccess && headerValue(res.rawHeaders, names.signature) === undefined) || notRunStatuses.has(status)) {
         return AttemptOutcome.Broken;
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -106,6 +106,32 @@
         behave: socket => socket.end(head("421 Misdirected Request", ["Content-Length: 0"])),
         outcome: AttemptOutcome.WrongServer,
     },
+    {
+        name: "a refusal of another request",
+        behave: socket =>
+            socket.end("HTTP/1.1 503 Service Unavailable\r\nx-request: r2\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"),
+        outcome: AttemptOutcome.Broken,
+    },
+    {
+        name: "a 421 for another request",
+        behave: socket => socket.end("HTTP/1.1 421 Misdirected Request\r\nx-request: r2\r\nContent-Length: 0\r\n\r\n"),
+        outcome: AttemptOutcome.Broken,
+    },
+    ...["HTTP/1.1 200 OK", ok().slice(0, 30), ok().slice(0, -2), ok("Content-Length: 50").slice(0, -5)].flatMap(start => [
+        {
+            name: `a head that stops after ${start.length} bytes, as its connection closes,`,
+            behave: (socket: Socket): void => void socket.end(start),
+            outcome: AttemptOutcome.Broken,
+        },
+        {
+            name: `a head that stops after ${start.length} bytes, as its connection is reset,`,
+            behave: (socket: Socket): void => {
+                socket.write(start);
+                setTimeout(() => socket.resetAndDestroy(), 20);
+            },
+            outcome: AttemptOutcome.Broken,
+        },
+    ]),
     {
         name: "a server error",
         behave: socket => socket.end(head("500 Error", ["x-signature: s", "Content-Length: 4"]) + "oops"),
