Prove the end of an answer without a length before it counts as complete

Cause: a reset was noticed only when the event loop reported an orderly end; when it arrives later there is an error and no end, and the HTTP client completes the message all the same. An answer that ends with its connection now counts as complete only after an orderly end.

--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -139,10 +139,11 @@
     /** Whether the peer may run the request: it has a connection, and has confirmed that it reads the request if it must. */
     let mayRun = false;
     // If a reset has already arrived when the last bytes are read, the event loop reports an orderly end, but the socket
-    // has no remote address any more. This listener must run before those that close the socket.
-    let wasReset = false;
+    // has no remote address any more. This listener must run before those that close the socket. After a reset that arrives
+    // later there is an error and no end, and the HTTP client completes the answer all the same.
+    let hasOrderlyEnd = false;
     socket.once("end", () => {
-        wasReset = socket.remoteAddress === undefined;
+        hasOrderlyEnd = socket.remoteAddress !== undefined;
     });
     const client = httpRequest({
         createConnection: () => socket,
@@ -183,7 +184,7 @@
         }
     };
 
-    const isComplete = (res: IncomingMessage): boolean => res.complete && !(isCloseDelimited(res.rawHeaders) && wasReset);
+    const isComplete = (res: IncomingMessage): boolean => res.complete && (!isCloseDelimited(res.rawHeaders) || hasOrderlyEnd);
 
     const readBody = (res: IncomingMessage, { status, headers }: Extract<ResponseHead, { kind: "answer"; }>): void => {
         const chunks: Buffer[] = [];
