Compute differences of configurations by the places of routes

Also, of two routes at one place the last one is in force, whose position a difference did not keep. Cause: differences went by the names of routes, which nothing makes unique.

They now go by host name and prefix, and hold only the route that is in force at a place. Hosts of earlier versions still get the names that are gone; differences from earlier state hosts are applied as before.

--- a/packages/core/src/lib/gateway/gateway-config.ts
+++ b/packages/core/src/lib/gateway/gateway-config.ts
@@ -85,22 +85,36 @@
     baseNumber: number;
     number: number;
     changedRoutes: GatewayRoute[];
+    /** Names of routes that are gone, for entry hosts of earlier versions. */
     removedRoutes: string[];
+    /** Places of routes that are gone; absent in differences from state hosts of earlier versions, which go by the names of routes. */
+    removedPlaces?: string[];
     services?: GatewayService[];
     limits?: CallerLimits;
 }
 
 const isEqual = (a: unknown, b: unknown): boolean => JSON.stringify(a) === JSON.stringify(b);
 
+/** Where a route applies; several routes may have one name, but only the last one of a place is in force. */
+const placeOf = ({ hostName, prefix }: GatewayRoute): string => `${hostName} ${prefix}`;
+
+const routesByPlace = (routes: readonly GatewayRoute[]): Map<string, GatewayRoute> =>
+    new Map(routes.map(route => [placeOf(route), route]));
+
 /** Computes the changes from `base` to `next`. */
 export const diffConfig = (base: GatewayConfig, next: GatewayConfig): ConfigDelta => {
-    const baseRoutes = new Map(base.routes.map(route => [route.name, route]));
+    const baseByName = new Map(base.routes.map(route => [route.name, route]));
+    const baseByPlace = routesByPlace(base.routes);
     const nextNames = new Set(next.routes.map(route => route.name));
+    const nextByPlace = routesByPlace(next.routes);
     return {
         baseNumber: base.number,
         number: next.number,
-        changedRoutes: next.routes.filter(route => !isEqual(baseRoutes.get(route.name), route)),
+        changedRoutes: [...nextByPlace].filter(([place, route]) =>
+            !isEqual(baseByPlace.get(place), route) || !isEqual(baseByName.get(route.name), route)
+        ).map(([, route]) => route),
         removedRoutes: base.routes.map(route => route.name).filter(name => !nextNames.has(name)),
+        removedPlaces: [...baseByPlace.keys()].filter(place => !nextByPlace.has(place)),
         services: isEqual(base.services, next.services) ? undefined : next.services,
         limits: isEqual(base.limits, next.limits) ? undefined : next.limits,
         ...diffWorkspaces(base.workspaces, next.workspaces),
@@ -112,12 +126,13 @@
     if (base?.number !== delta.baseNumber) {
         return undefined;
     }
-    const routes = new Map(base.routes.map(route => [route.name, route]));
-    for (const name of delta.removedRoutes) {
-        routes.delete(name);
+    const keyOf = delta.removedPlaces === undefined ? ({ name }: GatewayRoute): string => name : placeOf;
+    const routes = new Map(base.routes.map(route => [keyOf(route), route]));
+    for (const key of delta.removedPlaces ?? delta.removedRoutes) {
+        routes.delete(key);
     }
     for (const route of delta.changedRoutes) {
-        routes.set(route.name, route);
+        routes.set(keyOf(route), route);
     }
     const workspaces = applyWorkspaceDelta(base.workspaces, delta);
     return {
