--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -18,15 +18,7 @@
     StateRequestKind,
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
-import type {
-    EntryHello,
-    FleetHost,
-    FleetMachine,
-    GatewayConfig,
-    HostAnnouncement,
-    LinkMessage,
-    PeerMessage,
-} from "@cassiapick/core";
+import type { EntryHello, FleetHost, HostAnnouncement, LinkMessage, PeerMessage } from "@cassiapick/core";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -41,6 +33,7 @@
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createLinkWatch } from "./link-watch.js";
 import { createPeerLinks } from "./peer-links.js";
+import { createPublishedConfig } from "./published-config.js";
 import { createQuarantineRecorder } from "./quarantine-recorder.js";
 import { createQuotaHost } from "./quota-host.js";
 
@@ -75,7 +68,6 @@
     const peerIds = new Map<Link, string>();
     const acks = createAckScheduler();
     const linkWatch = createLinkWatch();
-    let latestConfig: GatewayConfig | undefined;
     let isStopping = false;
 
     const driver = createStateDriver({
@@ -98,30 +90,26 @@
         reopenFolder: options.reopen,
     });
 
-    /** Reads the published configuration if its number has changed; returns the latest one. */
-    const refreshConfig = (fleet: FleetMachine): GatewayConfig | undefined => {
-        const published = fleet.published();
-        if (published !== undefined && published.number !== latestConfig?.number) {
-            latestConfig = options.readDocument(published);
-            log.log("configurationInForce", { number: published.number, routes: latestConfig.routes.length });
-            quotaHost.setConfig(latestConfig);
-        }
-        return latestConfig;
-    };
-
     const quotaHost = createQuotaHost({ ...options, startedAt, peerLinks, driver });
 
+    const publishedConfig = createPublishedConfig({ ...options, onConfig: config => quotaHost.setConfig(config) });
+
     const entryPeersOf = createEntryPeersCache();
 
     const sendUpdates = (isPeriodic = false): void => {
         const fleet = driver.fleet();
-        if (fleet === undefined || entryLinks.size() === 0) {
+        if (fleet === undefined) {
+            return;
+        }
+        // The quotas of all hosts are divided by the configuration that this host has read, also while no entry host is attached.
+        const config = publishedConfig.refresh(fleet);
+        if (entryLinks.size() === 0) {
             return;
         }
         entryLinks.sendUpdates(
             {
                 fleet,
-                config: refreshConfig(fleet),
+                config,
                 contacts: stateContacts(fleet, driver.voters()),
                 entryHosts: countEntryHosts(fleet),
                 limitShares: limitRecorder.sharesOf(fleet),
@@ -335,7 +323,7 @@
             // -1 if the view age is unknown.
             cassiapick_view_age_ms: Number.isFinite(driver.viewAgeMs()) ? driver.viewAgeMs() : -1,
             cassiapick_voters: driver.voters().length,
-            cassiapick_configuration_number: latestConfig?.number ?? 0,
+            cassiapick_configuration_number: publishedConfig.latestNumber(),
             ...traffic.gauges(),
         }),
         stop: async () => {
