Commit the leave of a server that this state host does not know

'Nothing to do' now needs a committed record that the process has left or has a successor; any other notice is committed, which a host without a majority can't do, so it answers 503 and the server asks another one.

--- a/packages/core/src/lib/gateway/liveness-monitor.ts
+++ b/packages/core/src/lib/gateway/liveness-monitor.ts
@@ -20,7 +20,10 @@
 export interface LivenessMonitor {
     /** Handles a server's announcement. Returns the fact that must be committed before the announcement is acknowledged, if any. */
     serverAnnounced(fleet: FleetMachine, server: ServerAnnouncement, now: number): Fact | undefined;
-    /** Handles a server's notice that it has left. Returns the fact to commit, if any. */
+    /**
+     * Handles a server's notice that it has left. Returns the fact to commit, unless the replicated state shows that the process has
+     * left or that a newer one has followed it. A server that this state host does not know may be known to others.
+     */
     serverLeft(fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact | undefined;
     /** Records that a host is attached to this state host, or that its announcement has changed. */
     hostAttached(host: HostAnnouncement): void;
@@ -41,7 +44,7 @@
     && record.address === server.address;
 
 /** Whether an announcement has no effect, as a newer process uses the id or the address, or the process has left. */
-const isOutdated = (fleet: FleetMachine, server: ServerAnnouncement): boolean => {
+export const isOutdated = (fleet: FleetMachine, server: ServerAnnouncement): boolean => {
     const record = fleet.server(server.serverId);
     if (record !== undefined && record.bornAt > server.bornAt) {
         return true;
@@ -73,11 +76,10 @@
 
     const serverLeft = (fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact | undefined => {
         const record = fleet.server(serverId);
-        const isCurrentProcess = record !== undefined && (bornAt === undefined || bornAt === record.bornAt);
         lastAnnouncedAt.delete(serverId);
-        return isCurrentProcess && record.state !== ServingState.Departed
-            ? { kind: FactKind.ServerLeft, serverId, bornAt }
-            : undefined;
+        const hasLeft = record?.state === ServingState.Departed && (bornAt === undefined || bornAt <= record.bornAt);
+        const hasSuccessor = record !== undefined && bornAt !== undefined && bornAt < record.bornAt;
+        return hasLeft || hasSuccessor ? undefined : { kind: FactKind.ServerLeft, serverId, bornAt };
     };
 
     const silenceFact = (record: FleetServer, now: number): Fact | undefined => {
--- a/packages/core/src/test/liveness-monitor_test.ts
+++ b/packages/core/src/test/liveness-monitor_test.ts
@@ -62,6 +62,37 @@
         expect(fleet.server("a")?.state).to.equal(ServingState.Departed);
     });
 
+    // Guards against the acknowledgement of a leave that is recorded nowhere, as the state host doesn't know the server.
+    const leaves: {
+        name: string;
+        known?: Partial<ServerAnnouncement>;
+        hasLeft?: boolean;
+        bornAt?: number;
+        isCommitted: boolean;
+    }[] = [
+        { name: "of an unknown server", bornAt: 100, isCommitted: true },
+        { name: "of an unknown server without a start time", isCommitted: true },
+        { name: "of a known process", known: {}, bornAt: 100, isCommitted: true },
+        { name: "of a later process than the known one", known: {}, bornAt: 200, isCommitted: true },
+        { name: "of a later process than one that has left", known: {}, hasLeft: true, bornAt: 200, isCommitted: true },
+        { name: "of an earlier process than the known one", known: {}, bornAt: 50, isCommitted: false },
+        { name: "of a process that has left", known: {}, hasLeft: true, bornAt: 100, isCommitted: false },
+        { name: "of a process that has left, without a start time", known: {}, hasLeft: true, isCommitted: false },
+    ];
+    for (const { name, known, hasLeft, bornAt, isCommitted } of leaves) {
+        it(`commits the leave ${name}: ${isCommitted}`, () => {
+            const { fleet, monitor, commit } = setUp();
+            if (known !== undefined) {
+                commit([monitor.serverAnnounced(fleet, { ...server, ...known }, 0)]);
+            }
+            if (hasLeft === true) {
+                commit([monitor.serverLeft(fleet, "a", server.bornAt)]);
+            }
+            const fact = monitor.serverLeft(fleet, "a", bornAt);
+            expect(fact).to.deep.equal(isCommitted ? { kind: FactKind.ServerLeft, serverId: "a", bornAt } : undefined);
+        });
+    }
+
     it("takes over a server that announced itself to another state host before", () => {
         const { fleet, monitor, commit } = setUp();
         commit([{ kind: FactKind.Server, server, keeper: "k2", at: 0 }]);
