Record no server of a service that the configuration does not name

An announcement of such a service is now answered with 409 and recorded only for a process that already has a record; so is a ready announcement that has no effect, as the process has left or a newer one uses its id or address. Each 200 stands for what is in force.

Not done: a server that another writer displaced under a configured service, with a later start time, does not return by its own heartbeats.

--- a/packages/control/src/lib/control-contract.ts
+++ b/packages/control/src/lib/control-contract.ts
@@ -45,6 +45,10 @@
     Done = "done",
     /** Not committed in time; the outcome is unknown. */
     Unavailable = "unavailable",
+    /** Not recorded, as the configuration in force names no such service. */
+    UnknownService = "unknown-service",
+    /** Not recorded, as the process has left, or a newer one uses its id or its address. */
+    Outdated = "outdated",
 }
 
 /** The published configuration, read through the consensus. */
@@ -52,9 +56,9 @@
 
 /** A running state host. */
 export interface ControlHost {
-    /** Resolves with `Done` once the announcement is committed. */
+    /** Resolves with `Done` once the announcement is committed, or if it says nothing new. */
     announce(server: ServerAnnouncement): Promise<ControlOutcome>;
-    /** Resolves with `Done` once the server's departure is committed. */
+    /** Resolves with `Done` once the server's departure is committed; also that of a server which this state host doesn't know. */
     leave(serverId: string, bornAt: number | undefined): Promise<ControlOutcome>;
     publish(published: PublishedConfiguration): Promise<ControlOutcome>;
     read(): Promise<ReadResult>;
--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -13,7 +13,9 @@
     HostPhase,
     HostRole,
     isLinkMessage,
+    isOutdated,
     LinkMessageKind,
+    ServingState,
     StateReplyKind,
     StateRequestKind,
     voterAbsenceTimeoutMs,
@@ -283,6 +285,13 @@
             if (fleet === undefined) {
                 return ControlOutcome.Unavailable;
             }
+            if (isOutdated(fleet, announcement)) {
+                // No requests are sent to the process, which is what a notice that it is draining asks for.
+                return announcement.state === ServingState.Draining ? ControlOutcome.Done : ControlOutcome.Outdated;
+            }
+            if (!publishedConfig.namesService(fleet, announcement)) {
+                return ControlOutcome.UnknownService;
+            }
             const fact = livenessMonitor.serverAnnounced(fleet, announcement, clock());
             return fact === undefined ? ControlOutcome.Done : withCommitTimeout(recordFacts([fact]));
         },
