Bound the request bodies that a host holds together with its answers

Each body was held twice while its chunks were joined, and nothing bounded their sum.

One whose length finds no room is refused before it is read, with a time to return; the rest is discarded for a second so that the caller gets the response.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,6 +1,6 @@
 /** Serves callers over HTTP: reads and routes requests, runs them, and forwards the answers. */
 import { maxParsedHeadBytes } from "@cassiapick/core";
-import type { CallerLimits } from "@cassiapick/core";
+import type { ByteBudget, CallerLimits } from "@cassiapick/core";
 import { requestKeyOf } from "@cassiapick/operations";
 import type { EventLog } from "@cassiapick/operations";
 import { createServer } from "node:http";
@@ -27,6 +27,8 @@
     clock: () => number;
     log: EventLog;
     metrics: GatewayMetrics;
+    /** The bytes of requests and answers that this host may hold. */
+    budget?: ByteBudget;
 }
 
 /** HTTP server for callers. */
@@ -71,6 +73,18 @@
         ? { kind: ReplyKind.Unauthorized, reason: "the key of the request was withdrawn" }
         : { kind: ReplyKind.Refused, retryAfterMs: loss.retryAfterMs, reason: loss.reason };
 
+/** When a request may return whose body found no room, in milliseconds. */
+const noRoomRetryAfterMs = 1000;
+/** The rest of a body that is not used is read for this long, so that its caller receives the response, in milliseconds. */
+const unreadBodyMs = 1000;
+
+/** Discards the rest of a request after its response, then closes the connection; a close at once could lose the response. */
+const endUnread = (req: IncomingMessage, res: ServerResponse): void => {
+    const { socket } = req;
+    req.resume();
+    res.once("finish", () => setTimeout(() => socket.destroy(), unreadBodyMs).unref());
+};
+
 /** Creates the server for callers. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
     const { headerNames, configInForce, clock, log, metrics } = options;
@@ -82,7 +96,14 @@
     let isRefusing = false;
     const logOutcome = createOutcomeLog(options);
 
-    const respond = (req: IncomingMessage, res: ServerResponse, status: number, text: string, retryAfterMs?: number): void => {
+    const respond = (
+        req: IncomingMessage,
+        res: ServerResponse,
+        status: number,
+        text: string,
+        retryAfterMs?: number,
+        closes = isDraining,
+    ): void => {
         if (res.destroyed || res.headersSent) {
             return;
         }
@@ -92,7 +113,7 @@
         res.writeHead(status, [
             ...(requestId === undefined ? [] : [headerNames.requestId, requestId]),
             ...retryAfter,
-            ...(isDraining ? ["Connection", "close"] : []),
+            ...(closes ? ["Connection", "close"] : []),
             "Content-Type",
             "text/plain",
             "Content-Length",
@@ -144,15 +165,28 @@
 
     const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const arrivedAt = clock();
-        const read = await readBody(req, limits.maxBodyBytes);
+        const read = await readBody(req, { maxBytes: limits.maxBodyBytes, budget: options.budget });
         if (read.kind === "too-long") {
             respond(req, res, 413, `The body is longer than ${limits.maxBodyBytes} bytes. Send a shorter one.`);
             req.destroy();
         }
+        if (read.kind === "no-room") {
+            const requestId = headerValue(req.rawHeaders, headerNames.requestId);
+            log.log("requestRefused", { requestId, reason: "the host holds too many bytes to read the body", target: req.url });
+            metrics.increment("cassiapick_requests_total", { route: "", outcome: "no-memory" });
+            respond(req, res, 503, "This host holds too many bytes. Send the request again later.", noRoomRetryAfterMs, true);
+            endUnread(req, res);
+        }
         if (read.kind !== "complete") {
             return;
         }
         const { body } = read;
+        const hasLeft = (): boolean => res.destroyed;
+        if (hasLeft()) {
+            read.release();
+            return;
+        }
+        res.once("close", read.release);
         const hostHeader = headerValue(req.rawHeaders, "host") ?? "";
         const target = req.url ?? "/";
         const deadlineMs = callerDeadlineMs(req, headerNames);
@@ -162,7 +196,7 @@
             const waitMs = Math.min(routing.waitMs, deadlineMs * maxConfigWaitFraction);
             routing = await configInForce.waitForRoute(query, waitMs);
         }
-        if (res.destroyed) {
+        if (hasLeft()) {
             return;
         }
         const requestId = headerValue(req.rawHeaders, headerNames.requestId);
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -137,6 +137,7 @@
                 ?? quotas.run(req, () =>
                     runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, metrics, random: options.random })),
         answerWriter,
+        budget: answerMemory.budget,
         clock,
         log,
         metrics,
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -107,7 +107,7 @@
                 method,
                 target,
                 headers: forwarded.headers,
-                body: Buffer.from(forwarded.body),
+                body: Buffer.from(forwarded.body.buffer, forwarded.body.byteOffset, forwarded.body.byteLength),
                 deadlineAt: clock() + remainingMs,
             },
             choice,
@@ -116,10 +116,22 @@
     };
 
     const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-        const read = await readBody(req, options.maxBodyBytes() + envelopeBytes);
+        const maxBytes = options.maxBodyBytes() + envelopeBytes;
+        const read = await readBody(req, { maxBytes, budget: options.answerBudget });
+        if (read.kind === "complete" && res.destroyed) {
+            read.release();
+        }
         if (read.kind === "cut" || res.destroyed) {
             return;
         }
+        if (read.kind === "no-room") {
+            end(res, { ...unavailable("the host holds too many bytes"), isShortOfMemory: true });
+            req.resume();
+            return;
+        }
+        if (read.kind === "complete") {
+            res.once("close", read.release);
+        }
         const forwarded = read.kind === "complete" ? decodeForwardRequest(read.body) : undefined;
         if (forwarded === undefined) {
             log.log("peerRejected", {
