--- a/packages/core/src/lib/gateway/host-retry-budget.ts
+++ b/packages/core/src/lib/gateway/host-retry-budget.ts
@@ -55,7 +55,7 @@
 /** In smaller fleets limits are rounded down, as what random rounding adds does not average out. */
 const minHostsToRound = 16;
 /** Standard deviations of what random rounding adds over all hosts that their limits leave free. */
-const roundingMargin = 3;
+const roundingMargin = 2;
 /** Largest standard deviation of a limit that is rounded at random. */
 const roundingDeviation = 0.5;
 
