Keep the leave of a server without a record, so that a later announcement does not add it

An announcement that the cut-off host could not commit reached the leader after the leave had been committed. The leave had no record to change, so it left no trace, and the announcement created a record that is ready.

The leave of an unknown process is now committed together with a record of it, which departs at once. Departed records already refuse late announcements of their process and of earlier ones; state hosts of earlier versions apply both facts in the same way.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -300,8 +300,8 @@
             if (fleet === undefined) {
                 return ControlOutcome.Unavailable;
             }
-            const fact = livenessMonitor.serverLeft(fleet, serverId, bornAt);
-            return fact === undefined ? ControlOutcome.Done : withCommitTimeout(recordFacts([fact]));
+            const facts = livenessMonitor.serverLeft(fleet, serverId, bornAt);
+            return facts.length === 0 ? ControlOutcome.Done : withCommitTimeout(recordFacts(facts));
         },
         publish: async published => {
             const current = driver.fleet()?.published();
--- a/packages/core/src/lib/gateway/liveness-monitor.ts
+++ b/packages/core/src/lib/gateway/liveness-monitor.ts
@@ -21,10 +21,11 @@
     /** Handles a server's announcement. Returns the fact that must be committed before the announcement is acknowledged, if any. */
     serverAnnounced(fleet: FleetMachine, server: ServerAnnouncement, now: number): Fact | undefined;
     /**
-     * Handles a server's notice that it has left. Returns the fact to commit, unless the replicated state shows that the process has
-     * left or that a newer one has followed it. A server that this state host does not know may be known to others.
+     * Handles a server's notice that it has left. Returns the facts to commit as one entry, unless the replicated state shows that
+     * the process has left or that a newer one has followed it. A server that this state host does not know may be known to others,
+     * and its announcement may be committed later than its notice.
      */
-    serverLeft(fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact | undefined;
+    serverLeft(fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact[];
     /** Records that a host is attached to this state host, or that its announcement has changed. */
     hostAttached(host: HostAnnouncement): void;
     hostDetached(hostId: string, now: number): void;
@@ -39,6 +40,21 @@
 /** A detached entry host may be attaching to another state host; it counts as departed only after this time. */
 const detachedHostTimeoutMs = 900;
 
+/** Where a process that left before it was recorded is recorded to be; no server can use this address. */
+const unknownAddress = "0.0.0.0:1";
+
+/** The record of a process of which only its notice that it has left is known. */
+const unannouncedServer = (serverId: string, bornAt: number): ServerAnnouncement => ({
+    serverId,
+    service: "",
+    address: unknownAddress,
+    availabilityZone: "",
+    slots: 1,
+    state: ServingState.Draining,
+    bornAt,
+    warmupLeftMs: 0,
+});
+
 const isSameProcess = (record: FleetServer, server: ServerAnnouncement): boolean =>
     record.serverId === server.serverId && record.bornAt === server.bornAt && record.service === server.service
     && record.address === server.address;
@@ -74,12 +90,22 @@
         return isRecorded ? undefined : { kind: FactKind.Server, server, keeper: cfg.stateHostId, at: cfg.wallClock() };
     };
 
-    const serverLeft = (fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact | undefined => {
+    const serverLeft = (fleet: FleetMachine, serverId: string, bornAt: number | undefined): Fact[] => {
         const record = fleet.server(serverId);
         lastAnnouncedAt.delete(serverId);
         const hasLeft = record?.state === ServingState.Departed && (bornAt === undefined || bornAt <= record.bornAt);
         const hasSuccessor = record !== undefined && bornAt !== undefined && bornAt < record.bornAt;
-        return hasLeft || hasSuccessor ? undefined : { kind: FactKind.ServerLeft, serverId, bornAt };
+        if (hasLeft || hasSuccessor) {
+            return [];
+        }
+        const leftFact: Fact = { kind: FactKind.ServerLeft, serverId, bornAt };
+        if (record !== undefined && (bornAt === undefined || bornAt === record.bornAt)) {
+            return [leftFact];
+        }
+        // Only a record outlives the notice: without one, an announcement that is committed after it would add the server.
+        // State hosts of earlier versions apply these two facts in the same way.
+        const server = unannouncedServer(serverId, bornAt ?? 0);
+        return [{ kind: FactKind.Server, server, keeper: cfg.stateHostId, at: cfg.wallClock() }, leftFact];
     };
 
     const silenceFact = (record: FleetServer, now: number): Fact | undefined => {
--- a/packages/core/src/test/liveness-monitor_test.ts
+++ b/packages/core/src/test/liveness-monitor_test.ts
@@ -57,7 +57,7 @@
         expect(leaving?.kind).to.equal(FactKind.Server);
         commit([leaving]);
         expect(monitor.serverAnnounced(fleet, server, 2500)).to.equal(undefined);
-        commit([monitor.serverLeft(fleet, "a", undefined)]);
+        commit(monitor.serverLeft(fleet, "a", undefined));
         expect(monitor.serverAnnounced(fleet, server, 3000)).to.equal(undefined);
         expect(fleet.server("a")?.state).to.equal(ServingState.Departed);
     });
@@ -86,13 +86,107 @@
                 commit([monitor.serverAnnounced(fleet, { ...server, ...known }, 0)]);
             }
             if (hasLeft === true) {
-                commit([monitor.serverLeft(fleet, "a", server.bornAt)]);
+                commit(monitor.serverLeft(fleet, "a", server.bornAt));
             }
-            const fact = monitor.serverLeft(fleet, "a", bornAt);
-            expect(fact).to.deep.equal(isCommitted ? { kind: FactKind.ServerLeft, serverId: "a", bornAt } : undefined);
+            const facts = monitor.serverLeft(fleet, "a", bornAt);
+            expect(facts.at(-1)).to.deep.equal(isCommitted ? { kind: FactKind.ServerLeft, serverId: "a", bornAt } : undefined);
         });
     }
 
+    // Guards against a server that has left and gets requests again, as its announcement is committed after its notice.
+    const lateAnnouncements: {
+        name: string;
+        /** Committed before the notice, which comes from a state host that knows only `known`. */
+        committed?: Partial<ServerAnnouncement>;
+        known?: Partial<ServerAnnouncement>;
+        noticeBornAt: number | undefined;
+        late: Partial<ServerAnnouncement>;
+        expected: ServingState;
+    }[] = [
+        { name: "of an unknown process", noticeBornAt: 100, late: {}, expected: ServingState.Departed },
+        {
+            name: "of an unknown process that drains",
+            noticeBornAt: 100,
+            late: { state: ServingState.Draining },
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a process that the state host does not know yet",
+            committed: {},
+            noticeBornAt: 100,
+            late: {},
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a process that names no start time",
+            noticeBornAt: undefined,
+            late: { bornAt: 0 },
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a process whose predecessor is known",
+            committed: { bornAt: 50 },
+            known: { bornAt: 50 },
+            noticeBornAt: 100,
+            late: {},
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a predecessor of an unknown process",
+            noticeBornAt: 100,
+            late: { bornAt: 50 },
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a successor of an unknown process",
+            noticeBornAt: 100,
+            late: { bornAt: 200 },
+            expected: ServingState.Ready,
+        },
+        {
+            name: "of a successor that the state host does not know yet",
+            committed: { bornAt: 200 },
+            noticeBornAt: 100,
+            late: { bornAt: 200 },
+            expected: ServingState.Ready,
+        },
+        {
+            name: "of a successor, at an address that another server has used in the meantime",
+            committed: { serverId: "b", bornAt: 150 },
+            noticeBornAt: 100,
+            late: { bornAt: 200 },
+            expected: ServingState.Ready,
+        },
+    ];
+    for (const { name, committed, known, noticeBornAt, late, expected } of lateAnnouncements) {
+        it(`after a leave, the late announcement ${name} leaves it ${expected}`, () => {
+            const { fleet, commit } = setUp();
+            const { fleet: knownFleet, monitor, commit: commitKnown } = setUp();
+            const announce = (change: Partial<ServerAnnouncement>): Fact => ({
+                kind: FactKind.Server,
+                server: { ...server, ...change },
+                keeper: "k2",
+                at: 0,
+            });
+            commit([committed === undefined ? undefined : announce(committed)]);
+            commitKnown([known === undefined ? undefined : announce(known)]);
+            commit(monitor.serverLeft(knownFleet, "a", noticeBornAt));
+            commit([announce(late)]);
+            expect(fleet.server("a")?.state).to.equal(expected);
+        });
+    }
+
+    it("records no address for a server that left unannounced, so that another server may use any", () => {
+        const { fleet, monitor, commit } = setUp();
+        commit(monitor.serverLeft(fleet, "a", 100));
+        commit(monitor.serverLeft(fleet, "b", 50));
+        expect([...fleet.servers()].map(({ serverId, state }) => [serverId, state])).to.deep.equal([
+            ["a", ServingState.Departed],
+            ["b", ServingState.Departed],
+        ]);
+        expect(fleet.serverByAddress("0.0.0.0:1")).to.equal(undefined);
+    });
+
     it("takes over a server that announced itself to another state host before", () => {
         const { fleet, monitor, commit } = setUp();
         commit([{ kind: FactKind.Server, server, keeper: "k2", at: 0 }]);
