Let a state host that was removed as a voter while it was absent return

A state host that is absent for 3 s is removed as a voter. The removal is in entries that only voters get, so the host went on with the list from before, asked for votes that nobody granted, and refused everything.

A voter without a leader for one and a half election timeouts now asks to join too, learns of its removal from the leader's entries, and becomes a voter again. Contacts that were added after the start outlive a reopened data folder, and a write of which the disk takes no byte fails instead of being tried without end.

--- a/packages/core/src/lib/consensus/bootstrap.ts
+++ b/packages/core/src/lib/consensus/bootstrap.ts
@@ -21,9 +21,18 @@
     machine: createMachineState(epoch),
 });
 
-/** Makes a host with an empty disk a voter, by the bootstrap or by joining. */
+/**
+ * A voter without a leader for this many election timeouts may have been removed while it was absent. Nobody tells it, as entries go
+ * to voters only, so it sends join requests, once in an election timeout.
+ */
+const removalCheckElectionTimeouts = 1.5;
+
+/** Makes a host a voter, by the bootstrap or by joining, also one that was removed as a voter. */
 export interface Bootstrap {
-    /** Sends bootstrap queries or join requests once per heartbeat interval until this host is a voter. */
+    /**
+     * Sends bootstrap queries or join requests once per heartbeat interval until this host is a voter, and join requests while it
+     * may have been removed.
+     */
     tick(): void;
     receiveBootstrapQuery(from: string, nonce: number): void;
     /** Handles a reply; `fresh` is whether its sender takes part in the same bootstrap and has seen no election. */
@@ -36,6 +45,15 @@
     const nonce = ctx.random.below(incarnationRange);
     const freshHosts = new Set<string>();
     let nextRequestAt = -Infinity;
+    /** When this host last had a leader; the time of the first tick before that. */
+    let lastLedAt: number | undefined;
+
+    const mayHaveBeenRemoved = (): boolean => {
+        if (lastLedAt === undefined || ctx.leaderId !== undefined) {
+            lastLedAt = ctx.now;
+        }
+        return ctx.now - lastLedAt >= removalCheckElectionTimeouts * ctx.timing.electionTimeoutMs;
+    };
 
     const completeBootstrap = (): void => {
         onBootstrapped();
@@ -54,10 +72,11 @@
     };
 
     const tick = (): void => {
-        if (ctx.now < nextRequestAt || isVoter(ctx)) {
+        const seeksLeader = mayHaveBeenRemoved() && isVoter(ctx);
+        if (ctx.now < nextRequestAt || (isVoter(ctx) && !seeksLeader)) {
             return;
         }
-        nextRequestAt = ctx.now + ctx.timing.heartbeatMs;
+        nextRequestAt = ctx.now + (seeksLeader ? ctx.timing.electionTimeoutMs : ctx.timing.heartbeatMs);
         const hostIds = ctx.hardState.founding ? [...ctx.contacts] : joinTargets(ctx);
         for (const hostId of hostIds) {
             ctx.send(
--- a/packages/state/src/lib/disk.ts
+++ b/packages/state/src/lib/disk.ts
@@ -63,6 +63,9 @@
             let writtenBytes = 0;
             while (writtenBytes < bytes.length) {
                 const result = await handle.write(bytes, writtenBytes, bytes.length - writtenBytes, position + writtenBytes);
+                if (result.bytesWritten === 0) {
+                    throw new Error(`The disk took ${writtenBytes} of ${bytes.length} bytes of '${name}'.`);
+                }
                 writtenBytes += result.bytesWritten;
             }
         },
--- a/packages/state/src/lib/state-driver.ts
+++ b/packages/state/src/lib/state-driver.ts
@@ -6,6 +6,7 @@
     NodeAction,
     NodeEvent,
     PeerMessage,
+    StateNode,
     StateReply,
     StateRequest,
     StateStatus,
@@ -84,7 +85,14 @@
 export const createStateDriver = (options: StateDriverOptions): StateDriver => {
     const { clock, log } = options;
     let { folder } = options;
-    let node = createStateNode({ ...options.nodeCfg, stored: folder.stored });
+    /** Contacts that were added after the start; they outlive the node. */
+    const contacts = new Set<string>();
+    const createNode = (): StateNode => {
+        const created = createStateNode({ ...options.nodeCfg, stored: folder.stored });
+        created.addContacts([...contacts]);
+        return created;
+    };
+    let node = createNode();
     const pendingReplies = new Map<number, (reply: StateReply) => void>();
     let nextRequestId = 1;
     let eventQueue: NodeEvent[] = [];
@@ -139,7 +147,7 @@
             await new Promise(resolve => setTimeout(resolve, reopenIntervalMs));
             try {
                 folder = await reopenFolder();
-                node = createStateNode({ ...options.nodeCfg, stored: folder.stored });
+                node = createNode();
                 eventQueue = [];
                 isSuspended = false;
                 log.log("storageRegained", { logLength: node.status().logLength });
@@ -285,7 +293,10 @@
         fleet: () => isSuspended ? undefined : node.fleet(),
         viewAgeMs: () => isSuspended ? Infinity : node.viewAgeMs(clock()),
         voters: () => node.voters(),
-        addContacts: hostIds => node.addContacts(hostIds),
+        addContacts: hostIds => {
+            hostIds.forEach(hostId => contacts.add(hostId));
+            node.addContacts(hostIds);
+        },
         isStorageHealthy: () => !isSuspended && !isStalled(),
         stop: stopDriver,
     };
