Refuse requests that a stopping host has sent to no server before it closes

Other operators saw requests cut off without an answer at the end of a planned stop. This host takes no request later than 2.8 s, but one that waited for room or for its turn until the end was cut off, and one that was sent shortly before the end was cut off at work.

After 0.4 of the time between the last request taken and the end, requests that wait are refused with a short Retry-After, and a request that a server has declined is refused, not sent again. Requests that may have run are finished as before.

--- a/packages/gateway/src/lib/answer-memory.ts
+++ b/packages/gateway/src/lib/answer-memory.ts
@@ -35,7 +35,7 @@
             }
             const reason = `this host holds ${budget.held()} bytes of answers that callers have not read`;
             const reply = Promise.resolve({ kind: ReplyKind.Refused, retryAfterMs: retryAfterMs(), reason } as const);
-            return { reply, cancel: () => undefined };
+            return { reply, cancel: () => undefined, refuseUnsent: () => undefined };
         },
     };
 };
--- a/packages/gateway/src/lib/caller-request.ts
+++ b/packages/gateway/src/lib/caller-request.ts
@@ -46,9 +46,16 @@
     CallerDisconnected = "abandoned",
 }
 
+/** The reply to a request that has not run. */
+export interface RefusedReply {
+    kind: ReplyKind.Refused;
+    retryAfterMs: number;
+    reason: string;
+}
+
 /** The reply to a request that may not be sent. */
 export type AccessLossReply =
-    | { kind: ReplyKind.Refused; retryAfterMs: number; reason: string; }
+    | RefusedReply
     | { kind: ReplyKind.Unauthorized; reason: string; };
 
 /** The reply to the caller. */
@@ -65,4 +72,6 @@
     readonly reply: Promise<Reply>;
     /** Cancels all attempts, as the caller has disconnected. */
     cancel(): void;
+    /** From now on the request is sent to no server unless it may have run already; it ends with `refusal` instead. */
+    refuseUnsent(refusal: RefusedReply): void;
 }
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -10,6 +10,7 @@
 import { ReplyKind } from "./caller-request.js";
 import type { AccessLossReply, CallerRequest, Reply, RequestRun } from "./caller-request.js";
 import type { AccessLoss, ConfigInForce, RoutingQuery } from "./config-in-force.js";
+import { endUnread } from "./end-unread.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import { endToEndHeaders, headerValue } from "./headers.js";
 import type { HeaderNames } from "./headers.js";
@@ -40,6 +41,8 @@
     startDraining(): void;
     /** Accepts no further connections, and refuses requests that arrive on open ones. */
     stopAccepting(): void;
+    /** Refuses the requests that have been sent to no server, and sends none for the first time any more. */
+    refuseUnsent(): void;
     /** Number of requests in flight. */
     openRequestCount(): number;
     close(): void;
@@ -75,21 +78,12 @@
 
 /** When a request may return whose body found no room, in milliseconds. */
 const noRoomRetryAfterMs = 1000;
-/** The rest of a body that is not used is read for this long, so that its caller receives the response, in milliseconds. */
-const unreadBodyMs = 1000;
-
-/** Discards the rest of a request after its response, then closes the connection; a close at once could lose the response. */
-const endUnread = (req: IncomingMessage, res: ServerResponse): void => {
-    const { socket } = req;
-    req.resume();
-    res.once("finish", () => setTimeout(() => socket.destroy(), unreadBodyMs).unref());
-};
-
 /** Creates the server for callers. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
     const { headerNames, configInForce, clock, log, metrics } = options;
     /** The responses that are not finished, by connection. */
     const openResponses = new Map<Socket, Set<ServerResponse>>();
+    const openRuns = new Set<RequestRun>();
     let limits = defaultLimits;
     let openRequestCount = 0;
     let isDraining = false;
@@ -145,7 +139,9 @@
                 run.cancel();
             }
         });
+        openRuns.add(run);
         const reply = await run.reply;
+        openRuns.delete(run);
         logOutcome(caller, reply);
         if (reply.kind === ReplyKind.CallerDisconnected) {
             return;
@@ -318,6 +314,16 @@
             server.close();
             server.closeIdleConnections();
         },
+        refuseUnsent: () => {
+            const refusal = {
+                kind: ReplyKind.Refused,
+                retryAfterMs: stoppingRetryAfterMs,
+                reason: "the host is stopping",
+            } as const;
+            for (const run of openRuns) {
+                run.refuseUnsent(refusal);
+            }
+        },
         openRequestCount: () => openRequestCount,
         close: () => server.closeAllConnections(),
     };
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -276,6 +276,7 @@
                 forwardServer.startDraining();
             },
             stopAccepting: () => callerServer.stopAccepting(),
+            refuseUnsent: () => callerServer.refuseUnsent(),
             close: () => {
                 timers.forEach(timer => clearInterval(timer));
                 quotas.close();
--- a/packages/gateway/src/lib/quota-gate.ts
+++ b/packages/gateway/src/lib/quota-gate.ts
@@ -135,6 +135,16 @@
                     run.cancel();
                 }
             },
+            refuseUnsent: refusal => {
+                if (run === undefined) {
+                    isCancelled = true;
+                    withdraw();
+                    resolveReply(refusal);
+                }
+                else {
+                    run.refuseUnsent(refusal);
+                }
+            },
         };
     };
 
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -8,12 +8,13 @@
     Repeatability,
     RequestAction,
 } from "@cassiapick/core";
-import type { AdmittedEnd, AttemptPlan, HostRetryBudget, PeerSelector, Random, RequestAttempts, Turn } from "@cassiapick/core";
+import type { AttemptPlan, HostRetryBudget, PeerSelector, Random, RequestAttempts, Turn } from "@cassiapick/core";
 import type { AdmissionQueue, QueuedRequest } from "./admission-queue.js";
+import { admittedEndOf } from "./admitted-end.js";
 import { createAttemptTurns } from "./attempt-turn.js";
 import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
 import { ReplyKind } from "./caller-request.js";
-import type { CallerRequest, Reply, RequestRun } from "./caller-request.js";
+import type { CallerRequest, RefusedReply, Reply, RequestRun } from "./caller-request.js";
 import { startForwardAttempt } from "./forward-attempt.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
 import type { ServerAnswer } from "./http-call.js";
@@ -43,12 +44,6 @@
 /** Longer delays would end at once, in milliseconds; a request that is still open then has waited for weeks. */
 const maxTimerMs = 2 ** 31 - 1;
 
-/** What the end of an attempt says about the room at its server. */
-const roomOutcomes: Partial<Record<AttemptOutcome, AdmittedEnd["outcome"]>> = {
-    [AttemptOutcome.Answered]: "answered",
-    [AttemptOutcome.Declined]: "declined",
-};
-
 /** Starts a request. */
 export const runRequest = (req: CallerRequest, dependencies: RunnerDependencies): RequestRun => {
     const { admission, clock, pool, quarantine } = dependencies;
@@ -85,6 +80,8 @@
     let isConcluded = false;
     /** Why the next attempt is made; `undefined` for the first one. */
     let retryReason: RetryReason | undefined;
+    /** The reply if the request turns out not to have run, once it may not be sent any more. */
+    let unsentRefusal: RefusedReply | undefined;
     /** The last server error, delivered if no other attempt succeeds. */
     let serverErrorAnswer: ServerAnswer | undefined;
     const reply = new Promise<Reply>(resolve => {
@@ -232,7 +229,9 @@
             scheduleHedge(attempt);
         }
         void attempt.hasServerEnded.then(() => turns.end(turn));
-        void attempt.result.then(result => admission.attemptEnded(service, admittedEndOf(plan, result, startedAt)));
+        void attempt.result.then(({ outcome }) =>
+            admission.attemptEnded(service, admittedEndOf(route, plan, outcome, clock() - startedAt))
+        );
         void attempt.result.then(async result => {
             if (result.server !== undefined) {
                 triedServerNumbers.add(result.server.number);
@@ -294,17 +293,6 @@
         admission.enter(queued);
     };
 
-    const admittedEndOf = (plan: StartablePlan, { outcome }: AttemptResult, startedAt: number): AdmittedEnd | undefined => {
-        const roomOutcome = roomOutcomes[outcome];
-        return plan.kind !== "direct" || roomOutcome === undefined ? undefined : {
-            route: route.name,
-            objectiveMs: route.latencyObjectiveMs,
-            elapsedMs: clock() - startedAt,
-            outcome: roomOutcome,
-            wasQueued: plan.choice.load >= plan.choice.server.slots,
-        };
-    };
-
     /** Starts the next attempt after all waits; what may have changed meanwhile, such as the caller's key, is checked here. */
     const startNextAttempt = (turn: Turn): void => {
         const accessLoss = req.accessLoss?.();
@@ -314,6 +302,11 @@
             conclude(mayHaveRun() ? { kind: ReplyKind.Failed, reason: accessLoss.reason } : accessLoss);
             return;
         }
+        if (unsentRefusal !== undefined && !mayHaveRun()) {
+            turns.end(turn);
+            conclude(unsentRefusal);
+            return;
+        }
         const plan = planNextAttempt();
         if (plan.kind !== "none") {
             startAttempt(plan, turn, retryReason);
@@ -340,5 +333,14 @@
     });
     tryNextServer();
 
-    return { reply, cancel: () => conclude({ kind: ReplyKind.CallerDisconnected }) };
+    return {
+        reply,
+        cancel: () => conclude({ kind: ReplyKind.CallerDisconnected }),
+        refuseUnsent: refusal => {
+            unsentRefusal = refusal;
+            if (!mayHaveRun()) {
+                conclude(refusal);
+            }
+        },
+    };
 };
--- a/packages/gateway/src/lib/stop-gracefully.ts
+++ b/packages/gateway/src/lib/stop-gracefully.ts
@@ -12,6 +12,8 @@
     startDraining(): void;
     /** From now on requests that arrive are refused. */
     stopAccepting(): void;
+    /** From now on requests that have been sent to no server are refused, as nothing is left of them to finish here. */
+    refuseUnsent(): void;
     close(): void;
 }
 
@@ -23,13 +25,20 @@
     const startedAt = stop.clock();
     const elapsed = (): number => stop.clock() - startedAt;
     const waitForNextPoll = (): Promise<void> => new Promise(resolve => setTimeout(resolve, pollMs));
-    const { acceptUntilMs, finishUntilMs } = stopSchedule(stop.stopWithinMs);
+    const { acceptUntilMs, sendUntilMs, finishUntilMs } = stopSchedule(stop.stopWithinMs);
     stop.startDraining();
     while (elapsed() < acceptUntilMs) {
         await waitForNextPoll();
     }
     stop.stopAccepting();
     while (stop.openRequestCount() > 0 && elapsed() < finishUntilMs) {
+        if (elapsed() >= sendUntilMs) {
+            stop.refuseUnsent();
+        }
+        await waitForNextPoll();
+    }
+    if (stop.openRequestCount() > 0) {
+        stop.refuseUnsent();
         await waitForNextPoll();
     }
     stop.close();
--- a/packages/gateway/src/test/caller-keys_test.ts
+++ b/packages/gateway/src/test/caller-keys_test.ts
@@ -95,6 +95,7 @@
                 return {
                     reply: Promise.resolve({ kind: ReplyKind.Answer, answer, attemptCount: 1, detail: "" }),
                     cancel: () => undefined,
+                    refuseUnsent: () => undefined,
                 };
             },
             clock: testClock,
--- a/packages/gateway/src/test/caller-server-pipeline_test.ts
+++ b/packages/gateway/src/test/caller-server-pipeline_test.ts
@@ -58,6 +58,7 @@
                     cancel: () => {
                         cancelCount += 1;
                     },
+                    refuseUnsent: () => undefined,
                 }),
                 clock: testClock,
                 log: silentLog,
--- a/packages/gateway/src/test/caller-server-stop_test.ts
+++ b/packages/gateway/src/test/caller-server-stop_test.ts
@@ -8,6 +8,7 @@
 import { createCallerServer } from "../lib/caller-server.js";
 import type { CallerServer } from "../lib/caller-server.js";
 import { createGatewayMetrics } from "../lib/gateway-metrics.js";
+import { stopGracefully } from "../lib/stop-gracefully.js";
 import { stopSchedule } from "../lib/stop-schedule.js";
 import { createTestAnswerWriter, testClock, testHeaderNames } from "./test-gateway.js";
 
@@ -34,6 +35,7 @@
     let agent: Agent;
     let port = 0;
     let runs: ((reply: Reply) => void)[] = [];
+    let refuseUnsent: (refusal: Reply) => void = () => undefined;
     const answerFirst = (): void =>
         runs.shift()?.({
             kind: ReplyKind.Answer,
@@ -58,6 +60,7 @@
 
     beforeEach(async () => {
         runs = [];
+        refuseUnsent = () => undefined;
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
         server = createCallerServer({
             headerNames: testHeaderNames,
@@ -70,7 +73,7 @@
             run: () => {
                 const reply = new Promise<Reply>(resolve => runs.push(resolve));
                 notifyRun();
-                return { reply, cancel: () => undefined };
+                return { reply, cancel: () => undefined, refuseUnsent: refusal => refuseUnsent(refusal) };
             },
             clock: testClock,
             log: createEventLog({ program: "test", hostId: "h", format: LogFormat.Json, write: () => undefined }),
@@ -105,10 +108,29 @@
         expect(runs).to.have.length(0);
     });
 
+    // Guards against requests that wait for a server until the end of the stop, and are then cut off without an answer.
+    it("refuses a request that was sent to no server, before it closes", async () => {
+        refuseUnsent = refusal => runs.shift()?.(refusal);
+        const answer = send();
+        await untilRunning();
+        await stopGracefully({
+            stopWithinMs: 700,
+            clock: testClock,
+            openRequestCount: () => server.openRequestCount(),
+            startDraining: () => server.startDraining(),
+            stopAccepting: () => server.stopAccepting(),
+            refuseUnsent: () => server.refuseUnsent(),
+            close: () => server.close(),
+        });
+        const refused = await answer;
+        expect(refused.status).to.equal(503);
+        expect(Number(refused.headers["retry-after"])).to.be.below(0.1);
+    });
+
     const schedules = [
-        { stopWithinMs: 6000, acceptUntilMs: 2800, finishUntilMs: 5500 },
-        { stopWithinMs: 10_000, acceptUntilMs: 2800, finishUntilMs: 9500 },
-        { stopWithinMs: 2000, acceptUntilMs: 1200, finishUntilMs: 1500 },
+        { stopWithinMs: 6000, acceptUntilMs: 2800, sendUntilMs: 3880, finishUntilMs: 5500 },
+        { stopWithinMs: 10_000, acceptUntilMs: 2800, sendUntilMs: 5480, finishUntilMs: 9500 },
+        { stopWithinMs: 2000, acceptUntilMs: 1200, sendUntilMs: 1320, finishUntilMs: 1500 },
     ];
     for (const { stopWithinMs, ...expected } of schedules) {
         it(`accepts requests for ${expected.acceptUntilMs} ms of a stop within ${stopWithinMs} ms`, () => {
--- a/packages/gateway/src/test/long-bodies_test.ts
+++ b/packages/gateway/src/test/long-bodies_test.ts
@@ -53,7 +53,7 @@
             },
             run: req => {
                 ran.push(req);
-                return { reply: allAnswered.then(() => answered), cancel: () => undefined };
+                return { reply: allAnswered.then(() => answered), cancel: () => undefined, refuseUnsent: () => undefined };
             },
             clock: testClock,
             log: createEventLog({ program: "test", hostId: "h", format: LogFormat.Json, write: () => undefined }),
