Record a leave without a start time with the time of its notice

A leave without a start time is of a process that has started by then, so its record has the time of the notice as start time. A successor starts later. One of three new cases of liveness-monitor_test fails without the change ('ready' instead of 'gone').

--- a/packages/core/src/lib/gateway/liveness-monitor.ts
+++ b/packages/core/src/lib/gateway/liveness-monitor.ts
@@ -104,7 +104,8 @@
         }
         // Only a record outlives the notice: without one, an announcement that is committed after it would add the server.
         // State hosts of earlier versions apply these two facts in the same way.
-        const server = unannouncedServer(serverId, bornAt ?? 0);
+        // A notice without a start time is of a process that has started by now; its successor starts later.
+        const server = unannouncedServer(serverId, bornAt ?? cfg.wallClock());
         return [{ kind: FactKind.Server, server, keeper: cfg.stateHostId, at: cfg.wallClock() }, leftFact];
     };
 
--- a/packages/core/src/test/liveness-monitor_test.ts
+++ b/packages/core/src/test/liveness-monitor_test.ts
@@ -30,6 +30,9 @@
     startedAt: 5,
 };
 
+/** The wall-clock time of all tests, in milliseconds since 1970. */
+const wallTime = 150;
+
 interface Setup {
     fleet: FleetMachine;
     monitor: LivenessMonitor;
@@ -43,7 +46,7 @@
         revision += 1;
         fleet.apply(facts.filter((fact): fact is Fact => fact !== undefined), revision);
     };
-    return { fleet, monitor: createLivenessMonitor({ stateHostId: "k1", heartbeatMs: 1000, wallClock: () => 0 }), commit };
+    return { fleet, monitor: createLivenessMonitor({ stateHostId: "k1", heartbeatMs: 1000, wallClock: () => wallTime }), commit };
 };
 
 describe("liveness monitor", () => {
@@ -123,6 +126,25 @@
             late: { bornAt: 0 },
             expected: ServingState.Departed,
         },
+        {
+            name: "of a process whose notice names no start time",
+            noticeBornAt: undefined,
+            late: {},
+            expected: ServingState.Departed,
+        },
+        {
+            name: "of a successor of a process whose notice names no start time",
+            noticeBornAt: undefined,
+            late: { bornAt: 200 },
+            expected: ServingState.Ready,
+        },
+        {
+            name: "of a process that the state host does not know yet, whose notice names no start time",
+            committed: {},
+            noticeBornAt: undefined,
+            late: {},
+            expected: ServingState.Departed,
+        },
         {
             name: "of a process whose predecessor is known",
             committed: { bornAt: 50 },
