Bound the search for a second answer's head to what may begin one

A body with many protocol names kept the search at work: each was searched for the end of a head up to the end of the bytes at hand. A name that no status begins is passed over now, and a head is searched for its end within its longest length only.

--- a/packages/gateway/src/lib/repeated-answer.ts
+++ b/packages/gateway/src/lib/repeated-answer.ts
@@ -22,6 +22,8 @@
 }
 
 const versionPrefix = "HTTP/1.";
+const statusLineStartPattern = /^HTTP\/1\.[01] [1-5]\d\d/u;
+const statusLineStartBytes = "HTTP/1.1 200".length;
 const statusLinePattern = /^HTTP\/1\.[01] (?<status>[1-5]\d\d)(?: [^\r\n]*)?$/u;
 const lineEnd = "\r\n";
 const headEnd = lineEnd + lineEnd;
@@ -72,12 +74,16 @@
             return false;
         }
         dropPending(start);
-        const end = pending.indexOf(headEnd);
-        const isTooLong = (end === -1 ? pending.length : end) > maxHeadBytes;
-        if (end === -1 && !isTooLong) {
+        const startText = pending.toString("latin1", 0, statusLineStartBytes);
+        if (startText.length === statusLineStartBytes && !statusLineStartPattern.test(startText)) {
+            dropPending(versionPrefix.length);
+            return true;
+        }
+        const end = pending.subarray(0, maxHeadBytes).indexOf(headEnd);
+        if (end === -1 && pending.length < maxHeadBytes) {
             return false;
         }
-        const head = isTooLong ? undefined : parseHead(pending.toString("latin1", 0, end));
+        const head = end === -1 ? undefined : parseHead(pending.toString("latin1", 0, end));
         if (head !== undefined && isAnswer(head)) {
             second = { ...head, start: pendingStart, bodyStart: pendingStart + end + headEnd.length };
             return false;
--- a/packages/gateway/src/test/repeated-answer_test.ts
+++ b/packages/gateway/src/test/repeated-answer_test.ts
@@ -8,6 +8,9 @@
 /** The head of an answer in a document, such as a batch of answers. */
 const quotedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
+/** Longer than any head. */
+const protocolNames = "HTTP/1.1, HTTP/1.0; ".repeat(1000);
+
 /** Answers without a length, sent in parts; `body` is that of the first answer if that is provably whole. */
 const secondAnswers: { name: string; parts: string[]; body?: string; }[] = [
     {
@@ -59,6 +62,17 @@
         parts: [`${ok()}${quotedHead}HTTP/1.1`, `${ok()}${quotedHead}HTTP/1.1`],
         body: `${quotedHead}HTTP/1.1`,
     },
+    {
+        name: "an answer that names the protocol many times before it is repeated",
+        parts: [
+            ok(),
+            protocolNames,
+            `HTTP/1.1 200 OK\r\n${protocolNames}${ok()}`,
+            protocolNames,
+            `HTTP/1.1 200 OK\r\n${protocolNames}`,
+        ],
+        body: `${protocolNames}HTTP/1.1 200 OK\r\n${protocolNames}`,
+    },
     {
         name: "an answer that names the protocol at its end",
         parts: [`${ok()}It speaks HTTP/1.1`],
