Log how late periodic work runs, and how long a configuration takes to send

New: 'processLate' (CP1008) and its metrics on entry hosts and state hosts, and 'configurationSent' (CP2022) on state hosts. No decision changes.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -21,6 +21,7 @@
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
 import type { EntryHello, FleetHost, HostAnnouncement, LinkMessage, PeerMessage } from "@cassiapick/core";
+import { createLatenessMeter } from "@cassiapick/operations";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -65,11 +66,12 @@
     const { host, port } = splitAddress(hostId);
     const traffic = createHostTraffic({ place: options, placeOfPeer: peerId => driver.fleet()?.host(peerId) });
     const peerLinks = createPeerLinks({ hostId, localAddress: host, clock, onSent: traffic.sentToPeer });
-    const entryLinks = createEntryLinks(options.availabilityZone, wallClock);
+    const entryLinks = createEntryLinks({ availabilityZone: options.availabilityZone, clock, wallClock, log });
     const livenessMonitor = createLivenessMonitor({ stateHostId: hostId, heartbeatMs: options.heartbeatMs, wallClock });
     const peerIds = new Map<Link, string>();
     const acks = createAckScheduler();
     const linkWatch = createLinkWatch();
+    const lateness = createLatenessMeter({ intervalMs: relayIntervalMs, clock, log });
     let isStopping = false;
 
     const driver = createStateDriver({
@@ -265,7 +267,10 @@
     });
 
     const timers = [
-        setInterval(relayReports, relayIntervalMs),
+        setInterval(() => {
+            lateness.tick();
+            relayReports();
+        }, relayIntervalMs),
         setInterval(() => {
             // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
             sendUpdates(true);
@@ -333,6 +338,7 @@
             cassiapick_view_age_ms: Number.isFinite(driver.viewAgeMs()) ? driver.viewAgeMs() : -1,
             cassiapick_voters: driver.voters().length,
             cassiapick_configuration_number: publishedConfig.latestNumber(),
+            ...lateness.gauges(),
             ...traffic.gauges(),
         }),
         stop: async () => {
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -23,9 +23,21 @@
     ReportRow,
     StateHostContact,
 } from "@cassiapick/core";
+import type { EventLog } from "@cassiapick/operations";
 import { encodeCompactFrame } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
 
+/** Options of {@link createEntryLinks}. */
+export interface EntryLinksOptions {
+    /** Where the state host is. */
+    availabilityZone: string;
+    /** Monotonic time in milliseconds. */
+    clock: () => number;
+    /** Wall-clock time in milliseconds since 1970. */
+    wallClock: () => number;
+    log: EventLog;
+}
+
 /** State of the fleet that entry hosts need. */
 export interface FleetSnapshot {
     fleet: FleetMachine;
@@ -120,8 +132,8 @@
     ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
 });
 
-/** Creates the empty set of a state host in `availabilityZone`; `wallClock` returns milliseconds since 1970. */
-export const createEntryLinks = (availabilityZone: string, wallClock: () => number): EntryLinks => {
+/** Creates the empty set of a state host. */
+export const createEntryLinks = ({ availabilityZone, clock, wallClock, log }: EntryLinksOptions): EntryLinks => {
     const attachedHosts = new Map<Link, AttachedHost>();
     const retainedConfigs = new Map<number, GatewayConfig>();
     let nextKey = 1;
@@ -221,6 +233,8 @@
         }
         const contactsText = JSON.stringify(contacts);
         const revision = fleet.serversRevision();
+        const startedAt = clock();
+        let receivers = 0;
         for (const [link, attachedHost] of attachedHosts) {
             if (!isPeriodic && isDeferred(attachedHost, snapshot, now)) {
                 attachedHost.isUpToDate = false;
@@ -243,8 +257,12 @@
             if (config !== undefined && config.number > attachedHost.configNumber) {
                 link.send(configMessage(attachedHost, config));
                 attachedHost.configNumber = config.number;
+                receivers += 1;
             }
         }
+        if (config !== undefined && receivers > 0) {
+            log.log("configurationSent", { number: config.number, receivers, tookMs: Math.round(clock() - startedAt) });
+        }
     };
 
     const broadcast = (message: LinkMessage): void => {
--- a/packages/control/src/test/entry-links-bytes_test.ts
+++ b/packages/control/src/test/entry-links-bytes_test.ts
@@ -5,6 +5,7 @@
 import { expect } from "chai";
 import { createEntryLinks } from "../lib/entry-links.js";
 import type { EntryLinks, FleetSnapshot } from "../lib/entry-links.js";
+import { linkOptionsIn } from "./entry-links-options.js";
 
 const zone = "z2";
 const config: GatewayConfig = {
@@ -69,7 +70,7 @@
         sendFrame: receive,
         close: () => undefined,
     };
-    const links = createEntryLinks(zone, () => 0);
+    const links = createEntryLinks(linkOptionsIn(zone));
     links.addHost(link, hello, 0);
     const fleet = createFleetMachine(emptyFleetState);
     announce(fleet, 0);
--- a/packages/control/src/test/entry-links_test.ts
+++ b/packages/control/src/test/entry-links_test.ts
@@ -13,6 +13,7 @@
 import { expect } from "chai";
 import { createEntryLinks } from "../lib/entry-links.js";
 import type { EntryLinks, FleetSnapshot } from "../lib/entry-links.js";
+import { linkOptionsIn } from "./entry-links-options.js";
 
 const fleetWithServer = (): FleetMachine => {
     const fleet = createFleetMachine(emptyFleetState);
@@ -74,7 +75,7 @@
         },
         close: () => undefined,
     };
-    const links = createEntryLinks("z2", () => 0);
+    const links = createEntryLinks(linkOptionsIn("z2"));
     links.addHost(link, entryHello, 0);
     run(links, { fleet: fleetWithServer(), config, contacts, entryHosts: 1, limitShares, entryPeers, quarantined: new Map() });
     return sent.map(message => message.k);
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -15,6 +15,7 @@
     LinkMessageKind,
 } from "@cassiapick/core";
 import type { GatewayConfig, LinkMessage, ServerRow } from "@cassiapick/core";
+import { createLatenessMeter } from "@cassiapick/operations";
 import { createAdmissionQueue } from "./admission-queue.js";
 import { createAnswerMemory } from "./answer-memory.js";
 import { createAnswerWriter } from "./answer-writer.js";
@@ -78,6 +79,7 @@
             updatePhase();
         },
     });
+    const lateness = createLatenessMeter({ intervalMs: pathTickMs, clock, log });
     const retryBudget = createHostRetryBudget(options.retryBound, monotonicStartMs, options.random);
     const latencies = createRouteLatencyTracker();
     const metrics = createGatewayMetrics();
@@ -259,7 +261,10 @@
     const timers = [
         setInterval(updatePhase, unknownConfigRetryMs),
         setInterval(() => configInForce.tick(), tickMs),
-        setInterval(() => path.tick(), pathTickMs),
+        setInterval(() => {
+            lateness.tick();
+            path.tick();
+        }, pathTickMs),
     ];
 
     const openRequestCount = (): number => callerServer.openRequestCount() + forwardServer.openRequestCount();
@@ -293,6 +298,7 @@
         renderMetrics: () =>
             metrics.render({
                 ...link.gauges(),
+                ...lateness.gauges(),
                 cassiapick_configuration_number: configInForce.current()?.number ?? 0,
                 cassiapick_servers: pool.size(),
                 cassiapick_limited_servers: limits.size(),
--- a/packages/operations/src/index.ts
+++ b/packages/operations/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./lib/events.js";
 export * from "./lib/hop-by-hop.js";
 export * from "./lib/key-digest.js";
+export * from "./lib/lateness-meter.js";
 export * from "./lib/line-writer.js";
 export * from "./lib/metrics.js";
 export * from "./lib/nearest-name.js";
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -73,6 +73,11 @@
         "The log could not be written fast enough; lines were dropped.",
         "Speed up the reader of the log.",
     ),
+    processLate: warn(
+        "CP1008",
+        "Periodic work of this process ran late: it did long work, was paused, or got too little processor time.",
+        "Look for long work in the lines before it, such as 'configurationSent'; give the host more processor time if there is none.",
+    ),
     configurationRecorded: info(
         "CP2009",
         "A published configuration was committed, or one with the same or a higher number was already stored.",
@@ -112,6 +117,7 @@
         "Report it with the log lines of this entry host and of the state host.",
     ),
     votersChanged: info("CP2020", "The set of voters in the log of this state host has changed."),
+    configurationSent: info("CP2022", "A state host sent a configuration to the entry hosts that are attached to it."),
     serverJoined: info("CP3001", "A backend server announced itself."),
     serverLeft: info("CP3002", "A backend server left or its lease expired."),
     serverEjected: warn(
