Compare and encode a configuration once for all entry hosts of a state host

Callers were routed by configurations that had been replaced seconds before, and announcements and leaves of servers waited, while a configuration of 1,400 routes changed often.

Cause: for each attached entry host the state host compared all routes of the configuration that the host holds with those of the new one, by their JSON, and encoded the result again. The work of one change grew with the number of hosts times the number of routes, and everything else of the process waited behind it: messages of the consensus, announcements, view ages.

Change: the difference to each number that hosts hold is computed and encoded once ('config-frames.ts'), and routes are compared field by field.

--- /dev/null
+++ b/packages/control/src/lib/config-frames.ts
@@ -0,0 +1,59 @@
+/** The latest configuration as frames for entry hosts: the difference to what a host holds, computed and encoded once for all of them. */
+import { diffConfig, LinkMessageKind } from "@cassiapick/core";
+import type { GatewayConfig, LinkMessage } from "@cassiapick/core";
+import { encodeCompactFrame } from "@cassiapick/wire";
+
+/** A message and its encoded frame. */
+export interface ConfigFrame {
+    message: LinkMessage;
+    frame: Uint8Array;
+}
+
+/** The frames of one state host. */
+export interface ConfigFrames {
+    /** Records the latest configuration. */
+    setLatest(config: GatewayConfig): void;
+    /** Returns what turns the configuration with `heldNumber` (0: none) into the latest one: a difference, or the whole if that is unknown here. */
+    frameFor(heldNumber: number): ConfigFrame;
+}
+
+/** Recent configurations are retained, so that a host that reattaches needs only the difference. */
+const maxRetainedConfigs = 8;
+
+/** Creates the frames of a state host without a configuration; `frameFor` may be called after the first `setLatest`. */
+export const createConfigFrames = (): ConfigFrames => {
+    const retainedConfigs = new Map<number, GatewayConfig>();
+    /** The frames to the latest configuration by the number that a host holds; `undefined` stands for all unknown numbers. */
+    const frames = new Map<number | undefined, ConfigFrame>();
+    let latest: GatewayConfig | undefined;
+
+    const messageFor = (config: GatewayConfig, base: GatewayConfig | undefined): LinkMessage =>
+        base === undefined
+            ? { k: LinkMessageKind.Config, config }
+            : { k: LinkMessageKind.ConfigDelta, delta: diffConfig(base, config) };
+
+    return {
+        setLatest: config => {
+            if (config.number === latest?.number) {
+                return;
+            }
+            latest = config;
+            frames.clear();
+            retainedConfigs.set(config.number, config);
+            if (retainedConfigs.size > maxRetainedConfigs) {
+                retainedConfigs.delete(retainedConfigs.keys().next().value!);
+            }
+        },
+        frameFor: heldNumber => {
+            const base = retainedConfigs.get(heldNumber);
+            const known = frames.get(base?.number);
+            if (known !== undefined) {
+                return known;
+            }
+            const message = messageFor(latest!, base);
+            const created = { message, frame: encodeCompactFrame(message) };
+            frames.set(base?.number, created);
+            return created;
+        },
+    };
+};
--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -35,6 +35,7 @@
 import { createHostTraffic } from "./host-traffic.js";
 import { createLimitRecorder } from "./limit-recorder.js";
 import { createLinkWatch } from "./link-watch.js";
+import { createMissingFactsRecorder } from "./missing-facts.js";
 import { createPeerLinks } from "./peer-links.js";
 import { createPublishedConfig } from "./published-config.js";
 import { createQuarantineRecorder } from "./quarantine-recorder.js";
@@ -142,23 +143,7 @@
     // This host counts as attached to itself, so that its own record is committed like those of its entry hosts.
     livenessMonitor.hostAttached(selfAnnouncement());
 
-    let isRecordingFacts = false;
-    const recordMissingFacts = async (): Promise<void> => {
-        const fleet = driver.fleet();
-        if (fleet === undefined || isRecordingFacts || driver.status().leaderId === undefined) {
-            return;
-        }
-        const facts = livenessMonitor.missingFacts(fleet, clock());
-        if (facts.length > 0) {
-            isRecordingFacts = true;
-            try {
-                await recordFacts(facts);
-            }
-            finally {
-                isRecordingFacts = false;
-            }
-        }
-    };
+    const recordMissingFacts = createMissingFactsRecorder({ driver, livenessMonitor, recordFacts, clock });
 
     const recordEntryHost = (announcement: HostAnnouncement | undefined): void => {
         if (announcement !== undefined) {
--- a/packages/control/src/lib/entry-links.ts
+++ b/packages/control/src/lib/entry-links.ts
@@ -1,7 +1,6 @@
 /** The entry hosts attached to one state host: tracks what each has received and sends what is missing. */
 import {
     concernsOtherZones,
-    diffConfig,
     HostRole,
     LinkMessageKind,
     toLimitShareRow,
@@ -26,6 +25,7 @@
 import type { EventLog } from "@cassiapick/operations";
 import { encodeCompactFrame } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
+import { createConfigFrames } from "./config-frames.js";
 
 /** Options of {@link createEntryLinks}. */
 export interface EntryLinksOptions {
@@ -114,9 +114,6 @@
     hasReported: boolean;
 }
 
-/** Recent configurations are retained, so that a host that reattaches needs only the difference. */
-const maxRetainedConfigs = 8;
-
 /** Time for a host to move to a nearer state host, in milliseconds: a round trip, its next check and connection setup. */
 const moveTimeoutMs = 350;
 
@@ -135,23 +132,9 @@
 /** Creates the empty set of a state host. */
 export const createEntryLinks = ({ availabilityZone, clock, wallClock, log }: EntryLinksOptions): EntryLinks => {
     const attachedHosts = new Map<Link, AttachedHost>();
-    const retainedConfigs = new Map<number, GatewayConfig>();
+    const configFrames = createConfigFrames();
     let nextKey = 1;
 
-    const retainConfig = (config: GatewayConfig): void => {
-        retainedConfigs.set(config.number, config);
-        if (retainedConfigs.size > maxRetainedConfigs) {
-            retainedConfigs.delete(retainedConfigs.keys().next().value!);
-        }
-    };
-
-    const configMessage = (attachedHost: AttachedHost, config: GatewayConfig): LinkMessage => {
-        const baseConfig = retainedConfigs.get(attachedHost.configNumber);
-        return baseConfig === undefined
-            ? { k: LinkMessageKind.Config, config }
-            : { k: LinkMessageKind.ConfigDelta, delta: diffConfig(baseConfig, config) };
-    };
-
     /** Whether a host will probably move to a state host of its own availability zone, so that further updates would be wasted. */
     const isExpectedToMove = (attachedHost: AttachedHost, now: number): boolean => {
         const { attachedAt, nearHostSince, configNumber, host } = attachedHost;
@@ -229,7 +212,7 @@
     const sendUpdates = (snapshot: FleetSnapshot, now: number, isPeriodic = false): void => {
         const { fleet, config, contacts, limitShares, entryPeers } = snapshot;
         if (config !== undefined) {
-            retainConfig(config);
+            configFrames.setLatest(config);
         }
         const contactsText = JSON.stringify(contacts);
         const revision = fleet.serversRevision();
@@ -255,7 +238,8 @@
             sendPeers(link, attachedHost, entryPeers);
             sendQuarantined(link, attachedHost, snapshot.quarantined);
             if (config !== undefined && config.number > attachedHost.configNumber) {
-                link.send(configMessage(attachedHost, config));
+                const { frame, message } = configFrames.frameFor(attachedHost.configNumber);
+                link.sendFrame(frame, message);
                 attachedHost.configNumber = config.number;
                 receivers += 1;
             }
--- a/packages/core/src/lib/gateway/gateway-config.ts
+++ b/packages/core/src/lib/gateway/gateway-config.ts
@@ -95,6 +95,22 @@
 
 const isEqual = (a: unknown, b: unknown): boolean => JSON.stringify(a) === JSON.stringify(b);
 
+const areSameDestinations = (a: readonly Destination[], b: readonly Destination[]): boolean =>
+    a.length === b.length
+    && a.every(({ service, weight }, place) => service === b[place]!.service && weight === b[place]!.weight);
+
+/** Compares field by field, as a change of a long configuration compares all of its routes. */
+const isSameRoute = (a: GatewayRoute, b: GatewayRoute | undefined): boolean => {
+    if (b === undefined) {
+        return false;
+    }
+    const names = Object.keys(a) as (keyof GatewayRoute)[];
+    return names.length === Object.keys(b).length
+        && names.every(name =>
+            name === "destinations" ? areSameDestinations(a.destinations, b.destinations) : a[name] === b[name]
+        );
+};
+
 /** Where a route applies; several routes may have one name, but only the last one of a place is in force. */
 const placeOf = ({ hostName, prefix }: GatewayRoute): string => `${hostName} ${prefix}`;
 
@@ -111,7 +127,7 @@
         baseNumber: base.number,
         number: next.number,
         changedRoutes: [...nextByPlace].filter(([place, route]) =>
-            !isEqual(baseByPlace.get(place), route) || !isEqual(baseByName.get(route.name), route)
+            !isSameRoute(route, baseByPlace.get(place)) || !isSameRoute(route, baseByName.get(route.name))
         ).map(([, route]) => route),
         removedRoutes: base.routes.map(route => route.name).filter(name => !nextNames.has(name)),
         removedPlaces: [...baseByPlace.keys()].filter(place => !nextByPlace.has(place)),
