Send an entry to a follower once while its acknowledgement is on the way

Announcements, leaves and changes waited for seconds while the fleet started and while a long configuration changed.

Cause: the leader put all entries that a follower had not acknowledged into each heartbeat, and into each message of a read. A slow follower, or one behind a busy link, so got the same entries again and again, which made it and the leader slower. Only links that lose messages need this, and these are closed.

Change: while entries are in flight, heartbeats carry none; they name the last entry in flight, so a follower that lacks it says so and gets it again.

--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -1,6 +1,6 @@
 /** Leader side of log replication: sends entries, advances the commit index and steps down without a majority. */
 import { EntryKind } from "./log-entry.js";
-import type { EntryBody, Snapshot } from "./log-entry.js";
+import type { EntryBody, LogEntry, Snapshot } from "./log-entry.js";
 import { otherVoters, quorumSize } from "./node-context.js";
 import type { NodeContext } from "./node-context.js";
 import { NodeActionKind, PeerMessageKind } from "./node-messages.js";
@@ -23,8 +23,13 @@
     lastReceivedAt: number;
     /** The commit index in the last message to the peer. */
     sentCommitIndex: number;
-    /** Whether a message is unacknowledged; further entries wait for the reply or the next heartbeat. */
+    /** Whether a message is unacknowledged. */
     isAwaitingReply: boolean;
+    /**
+     * The last index of the entries, or of the snapshot, that were sent last and are neither acknowledged nor known to be lost;
+     * further ones wait. Links keep the order of messages, so a heartbeat that follows them shows whether they have arrived.
+     */
+    inFlightIndex: number | undefined;
 }
 
 /** The request of a host with a new disk to become a voter. */
@@ -96,29 +101,40 @@
         return ctx.now - (receivedTimes[quorumSize(ctx.log.voters()) - 1] ?? -Infinity);
     };
 
-    const sendTo = (hostId: string, peer: Progress): void => {
-        peer.isAwaitingReply = true;
-        const previousIndex = peer.nextIndex - 1;
-        const previousTerm = ctx.log.termAt(previousIndex);
-        if (previousTerm === undefined) {
-            const snapshot = hooks.latestSnapshot();
-            peer.sentCommitIndex = ctx.commitIndex;
-            ctx.send(hostId, { kind: PeerMessageKind.InstallSnapshot, term: ctx.hardState.term, snapshot, round });
-            return;
-        }
-        peer.sentCommitIndex = ctx.commitIndex;
+    /** Sends an append message without entries, or with those after `previousIndex`. */
+    const sendAppend = (hostId: string, previousIndex: number, entries: LogEntry[]): void => {
         ctx.send(hostId, {
             kind: PeerMessageKind.Append,
             term: ctx.hardState.term,
             previousIndex,
-            previousTerm,
-            entries: ctx.log.slice(peer.nextIndex, maxEntriesPerMessage),
+            previousTerm: ctx.log.termAt(previousIndex)!,
+            entries,
             commitIndex: ctx.commitIndex,
             quorumAgeMs: quorumAgeMs(),
             round,
         });
     };
 
+    /** Sends the entries that the peer lacks, or the snapshot if they are compacted; only a heartbeat while some are in flight. */
+    const sendTo = (hostId: string, peer: Progress): void => {
+        peer.isAwaitingReply = true;
+        peer.sentCommitIndex = ctx.commitIndex;
+        if (peer.inFlightIndex !== undefined) {
+            sendAppend(hostId, Math.max(peer.inFlightIndex, ctx.log.baseIndex()), []);
+            return;
+        }
+        const previousIndex = peer.nextIndex - 1;
+        if (ctx.log.termAt(previousIndex) === undefined) {
+            const snapshot = hooks.latestSnapshot();
+            peer.inFlightIndex = snapshot.index;
+            ctx.send(hostId, { kind: PeerMessageKind.InstallSnapshot, term: ctx.hardState.term, snapshot, round });
+            return;
+        }
+        const entries = ctx.log.slice(peer.nextIndex, maxEntriesPerMessage);
+        peer.inFlightIndex = entries.at(-1)?.index;
+        sendAppend(hostId, previousIndex, entries);
+    };
+
     const broadcast = (): void => {
         nextHeartbeatAt = ctx.now + ctx.timing.heartbeatMs;
         for (const [hostId, peer] of progress) {
@@ -165,7 +181,7 @@
         ctx.log.append([entry]);
         ctx.emit({ kind: NodeActionKind.Append, entries: [entry] });
         for (const [hostId, peer] of progress) {
-            if (!peer.isAwaitingReply) {
+            if (peer.inFlightIndex === undefined) {
                 sendTo(hostId, peer);
             }
         }
@@ -190,6 +206,7 @@
         lastReceivedAt: ctx.now,
         sentCommitIndex: 0,
         isAwaitingReply: false,
+        inFlightIndex: undefined,
     });
 
     /** Tracks the voters and the hosts that request to become voters; entries are sent to both. */
@@ -300,6 +317,7 @@
             peer.incarnation = message.incarnation;
             peer.matchIndex = 0;
             peer.round = 0;
+            peer.inFlightIndex = undefined;
         }
         peer.lastReceivedAt = ctx.now;
         peer.isAwaitingReply = false;
@@ -307,13 +325,17 @@
         if (message.ok) {
             peer.matchIndex = Math.max(peer.matchIndex, message.index);
             peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex, ctx.log.lastIndex() + 1));
+            if (peer.matchIndex >= (peer.inFlightIndex ?? 0)) {
+                peer.inFlightIndex = undefined;
+            }
         }
         else {
+            peer.inFlightIndex = undefined;
             peer.nextIndex = Math.max(1, Math.min(message.index, ctx.log.lastIndex() + 1));
         }
         advanceCommitIndex();
         if (
-            peer.nextIndex <= ctx.log.lastIndex()
+            (peer.inFlightIndex === undefined && peer.nextIndex <= ctx.log.lastIndex())
             || (peer.matchIndex === ctx.log.lastIndex() && peer.sentCommitIndex < ctx.commitIndex)
         ) {
             sendTo(from, peer);
