Append a publication only if it can come into force

Changes waited while operators repeated them or changed a long configuration at the same time.

Cause: the leader appended each publication that reached it, with its whole document, though one with the same number or a higher one was already in its log: an operator that gets no answer in a second sends the same again to another state host, and of two that change at once one loses.

Change: a publication that can't come into force waits for the one that decides that, and is complete with it; after a step down both are tried again.

--- a/packages/core/src/lib/consensus/request-handler.ts
+++ b/packages/core/src/lib/consensus/request-handler.ts
@@ -76,7 +76,10 @@
 ): RequestHandler => {
     let awaitingLeader: PendingRequest[] = [];
     let reads: PendingRead[] = [];
-    const proposed = new Map<number, PendingRequest>();
+    /** Requests by the log position whose application completes them. */
+    const proposed = new Map<number, PendingRequest[]>();
+    /** The publication with the highest number that this leader has proposed. */
+    let latestPublication: { index: number; number: number; } | undefined;
     const forwarded = new Map<number, PendingRequest>();
     let nextForwardId = ctx.random.below(2 ** 40);
 
@@ -105,12 +108,34 @@
     const entryBodyOf = (request: WriteRequest): EntryBody =>
         (entryBodies[request.kind] as (request: WriteRequest) => EntryBody)(request);
 
+    const completeAt = (index: number, pending: PendingRequest): void => {
+        proposed.set(index, [...proposed.get(index) ?? [], pending]);
+    };
+
     const propose = (pending: PendingRequest, request: WriteRequest): void => {
         // Recorded first: on a single-host cluster the entry is applied before `propose` returns.
-        proposed.set(ctx.log.lastIndex() + 1, pending);
+        completeAt(ctx.log.lastIndex() + 1, pending);
         replication.propose(entryBodyOf(request));
     };
 
+    /**
+     * Proposes a publication unless it can't come into force: one with its number or a higher one is committed, or will be. It is
+     * complete with that one, as it changes nothing then.
+     */
+    const publish = (pending: PendingRequest, request: PublishRequest): void => {
+        const { number } = request.published;
+        if ((ctx.machine.fleet.published()?.number ?? -1) >= number) {
+            sendReply(pending.replyTarget, { kind: StateReplyKind.Recorded });
+            return;
+        }
+        if (latestPublication !== undefined && latestPublication.number >= number) {
+            completeAt(latestPublication.index, pending);
+            return;
+        }
+        latestPublication = { index: ctx.log.lastIndex() + 1, number };
+        propose(pending, request);
+    };
+
     const startRead = (): void => {
         if (!replication.isCaughtUp() || reads.some(read => read.round !== undefined)) {
             return;
@@ -150,6 +175,10 @@
 
     const handleAsLeader = (pending: PendingRequest): void => {
         const { request } = pending;
+        if (request.kind === StateRequestKind.Publish) {
+            publish(pending, request);
+            return;
+        }
         if (!isRead(request)) {
             propose(pending, request);
             return;
@@ -197,25 +226,30 @@
         sendReply(pending.replyTarget, reply);
     };
 
-    const expire = (requests: Map<number, PendingRequest>): void => {
-        for (const [key, pending] of requests) {
-            if (ctx.now >= pending.deadline) {
-                requests.delete(key);
-                sendReply(pending.replyTarget, unavailableReply());
+    const isExpired = (pending: PendingRequest): boolean => ctx.now >= pending.deadline;
+
+    /** Removes the expired requests; returns them. */
+    const takeExpired = (): PendingRequest[] => {
+        const expired = [...[...proposed.values()].flat(), ...forwarded.values(), ...awaitingLeader, ...reads].filter(isExpired);
+        for (const [index, requests] of proposed) {
+            proposed.set(index, requests.filter(pending => !isExpired(pending)));
+        }
+        for (const [forwardId, pending] of forwarded) {
+            if (isExpired(pending)) {
+                forwarded.delete(forwardId);
             }
         }
+        awaitingLeader = awaitingLeader.filter(pending => !isExpired(pending));
+        reads = reads.filter(read => !isExpired(read));
+        return expired;
     };
 
     const tick = (): void => {
-        expire(proposed);
-        expire(forwarded);
-        const expired = [...awaitingLeader, ...reads].filter(pending => ctx.now >= pending.deadline);
-        reads = reads.filter(read => ctx.now < read.deadline);
-        const retried = awaitingLeader.filter(pending => ctx.now < pending.deadline);
-        awaitingLeader = [];
-        for (const pending of expired) {
+        for (const pending of takeExpired()) {
             sendReply(pending.replyTarget, unavailableReply());
         }
+        const retried = awaitingLeader;
+        awaitingLeader = [];
         for (const pending of retried) {
             dispatch(pending);
         }
@@ -233,25 +267,26 @@
         },
         receiveForwardReply,
         completeProposal: (index, reply) => {
-            const pending = proposed.get(index);
+            const completed = proposed.get(index) ?? [];
             proposed.delete(index);
-            if (pending !== undefined) {
-                sendReply(pending.replyTarget, reply);
+            for (const { replyTarget } of completed) {
+                sendReply(replyTarget, reply);
             }
         },
         completeReads,
         retryAfterStepDown: () => {
             const interrupted = [
-                ...proposed.values(),
+                ...[...proposed.values()].flat(),
                 ...reads.map(({ replyTarget, request, deadline }) => ({ replyTarget, request, deadline })),
             ];
             proposed.clear();
+            latestPublication = undefined;
             reads = [];
             for (const pending of interrupted) {
                 dispatch(pending);
             }
         },
         tick,
-        pendingCount: () => awaitingLeader.length + reads.length + proposed.size + forwarded.size,
+        pendingCount: () => awaitingLeader.length + reads.length + [...proposed.values()].flat().length + forwarded.size,
     };
 };
