Send a long configuration between state hosts as a patch of the last one

Changes of a long configuration were expensive in bytes between regions and took processor time for each link.

Cause: frames with history are deflated against the last 32 KB that their link has carried, the window of deflate, so of a longer document only the end was known, and each follower, each forward and each read got it whole.

Change: each direction of a link keeps its last value that is longer than the window, 2 MB at most, and the next such value is sent as a patch of it: what both have in common at the start and end, and rows that occur in both, are copied. Only to peers that say in their acknowledgements that they understand it ('p'); earlier versions get what they got.

--- a/packages/control/src/lib/ack-scheduler.ts
+++ b/packages/control/src/lib/ack-scheduler.ts
@@ -14,7 +14,7 @@
     schedule: (link: Link) => void;
 }
 
-const ack: LinkMessage = { k: LinkMessageKind.Ack, e: true, c: true, q: true };
+const ack: LinkMessage = { k: LinkMessageKind.Ack, e: true, c: true, q: true, p: true };
 
 /** Creates the acknowledgements of one state host. */
 export const createAckScheduler = (): AckScheduler => {
--- a/packages/control/src/lib/peer-links.ts
+++ b/packages/control/src/lib/peer-links.ts
@@ -49,6 +49,8 @@
     takesEvidence: boolean;
     /** Whether the peer understands short forms of the consensus and frames with history; it says so in its acknowledgements. */
     takesCompact: boolean;
+    /** Whether the peer understands patches of long values; it says so in its acknowledgements. */
+    takesPatches: boolean;
     /** What the link has carried in frames with history. */
     history: FrameHistory;
     /** Whether the peer understands quotas; it says so in its acknowledgements. */
@@ -74,7 +76,7 @@
     }
     const compact = toCompactMessage(message);
     const shortest: LinkMessage = compact === undefined ? whole : { k: LinkMessageKind.CompactConsensus, m: compact };
-    link.sendFrame(encodeFrameWithHistory(toWireValue(shortest), peer.history), shortest);
+    link.sendFrame(encodeFrameWithHistory(toWireValue(shortest), peer.history, peer.takesPatches), shortest);
 };
 
 /** Creates the outgoing links of one state host. */
@@ -96,6 +98,7 @@
                 if (isLinkMessage(message) && message.k === LinkMessageKind.Ack) {
                     peer.takesEvidence ||= message.e === true;
                     peer.takesCompact ||= message.c === true;
+                    peer.takesPatches ||= message.p === true;
                     peer.takesQuotas ||= message.q === true;
                 }
             },
@@ -106,6 +109,7 @@
                     peer.isOpen = false;
                     peer.takesEvidence = false;
                     peer.takesCompact = false;
+                    peer.takesPatches = false;
                     peer.history = createFrameHistory();
                     peer.takesQuotas = false;
                     peer.unacknowledgedSince = undefined;
@@ -123,6 +127,7 @@
             isOpen: false,
             takesEvidence: false,
             takesCompact: false,
+            takesPatches: false,
             history: createFrameHistory(),
             takesQuotas: false,
             unacknowledgedSince: undefined,
--- a/packages/control/src/test/consensus-bytes_test.ts
+++ b/packages/control/src/test/consensus-bytes_test.ts
@@ -108,7 +108,7 @@
         const whole: LinkMessage = { k: LinkMessageKind.Consensus, m: message };
         const short: LinkMessage = m === undefined ? whole : { k: LinkMessageKind.CompactConsensus, m };
         bytes.whole += encodeCompactFrame(whole).length;
-        bytes.short += encodeFrameWithHistory(toWireValue(short), history).length;
+        bytes.short += encodeFrameWithHistory(toWireValue(short), history, true).length;
     };
 
     const step = (hostId: string, event: Parameters<StateNode["step"]>[0]): void => {
--- a/packages/core/src/lib/gateway/fleet-messages.ts
+++ b/packages/core/src/lib/gateway/fleet-messages.ts
@@ -134,8 +134,8 @@
     | { k: LinkMessageKind.Consensus; m: PeerMessage; }
     | { k: LinkMessageKind.CompactConsensus; m: CompactMessage; }
     /** `e` is set if the sender understands evidence about requests, `c` if it understands short forms
-     * and frames with history, `q` if it understands quotas. */
-    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; q?: boolean; }
+     * and frames with history, `q` if it understands quotas, `p` if it understands patches of long values. */
+    | { k: LinkMessageKind.Ack; e?: boolean; c?: boolean; q?: boolean; p?: boolean; }
     | EntryHello
     | { k: LinkMessageKind.Heartbeat; }
     | { k: LinkMessageKind.Phase; phase: HostPhase; }
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -1,7 +1,7 @@
 /**
  * Encoding of frames: a big-endian length of four bytes, then one cbor-x value, which is deflated when the highest bit of the
- * length is set. If the next bit is set too, earlier values of the link are the dictionary. A value of less than 32 bytes may
- * have one byte before it in place of the four: its length plus 32, which no longer frame begins with.
+ * length is set. If the next bit is set too, earlier values of the link are the dictionary; if the third bit is set as well, the
+ * frame holds a patch of the last long value in place of a value. A value of less than 32 bytes may have one byte before it in place of the four: its length plus 32, which no longer frame begins with.
  */
 import { Decoder, Encoder } from "cbor-x";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
@@ -52,6 +52,8 @@
 const maxTinyBytes = 0x1f;
 /** The bit of the length that marks a value for which earlier values of the link are the dictionary. */
 const historyBit = 0x4000_0000;
+/** If the bit after that is set too, the frame holds a patch. */
+const patchBit = 0x2000_0000;
 /** Shorter values gain little, in bytes. */
 const minHistoryBytes = 160;
 
@@ -73,14 +75,21 @@
 
 /**
  * Encodes one value as the shortest frame for a link that has carried the values of `history`: short values have a short length,
- * long ones are deflated. Earlier versions don't understand these frames.
+ * long ones are deflated. Earlier versions don't understand these frames; with `takesPatches`, values that are longer than the
+ * window of deflate are sent as patches, which only peers that say so understand.
  */
-export const encodeFrameWithHistory = (value: unknown, history: FrameHistory): Buffer => {
+export const encodeFrameWithHistory = (value: unknown, history: FrameHistory, takesPatches = false): Buffer => {
     const body = encoder.encode(value);
     if (body.length <= maxTinyBytes) {
         return Buffer.concat([Buffer.of(tinyBase + body.length), body]);
     }
-    return body.length < minHistoryBytes ? encodeFrame(value) : deflatedFrame(history.deflate(body), deflatedBit + historyBit);
+    if (body.length < minHistoryBytes) {
+        return encodeFrame(value);
+    }
+    const patch = takesPatches ? history.deflatePatch(body) : undefined;
+    return patch === undefined
+        ? deflatedFrame(history.deflate(body), deflatedBit + historyBit)
+        : deflatedFrame(patch, deflatedBit + historyBit + patchBit);
 };
 
 const tooLargeResult = (bytes: number, limitBytes: number): FrameResult => ({
@@ -106,8 +115,12 @@
     let buffered = Buffer.alloc(0);
     const history = createFrameHistory();
 
-    const inflate = (body: Uint8Array, hasHistory: boolean): Buffer =>
-        hasHistory ? history.inflate(body, limitBytes) : inflateRawSync(body, { maxOutputLength: limitBytes });
+    const inflate = (body: Uint8Array, hasHistory: boolean, isPatch: boolean): Buffer => {
+        if (isPatch) {
+            return history.inflatePatch(body, limitBytes);
+        }
+        return hasHistory ? history.inflate(body, limitBytes) : inflateRawSync(body, { maxOutputLength: limitBytes });
+    };
 
     const push = (chunk: Uint8Array): FrameResult => {
         buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
@@ -121,7 +134,8 @@
             const length = isTiny ? buffered[0]! - tinyBase : buffered.readUInt32BE(0);
             const isDeflated = length >= deflatedBit;
             const hasHistory = isDeflated && length - deflatedBit >= historyBit;
-            const bytes = length - (isDeflated ? deflatedBit : 0) - (hasHistory ? historyBit : 0);
+            const isPatch = hasHistory && length - deflatedBit - historyBit >= patchBit;
+            const bytes = length - (isDeflated ? deflatedBit : 0) - (hasHistory ? historyBit : 0) - (isPatch ? patchBit : 0);
             if (bytes > limitBytes) {
                 return tooLargeResult(bytes, limitBytes);
             }
@@ -131,7 +145,7 @@
             }
             try {
                 const body = buffered.subarray(prefixBytes, frameEnd);
-                values.push(decoder.decode(isDeflated ? inflate(body, hasHistory) : body));
+                values.push(decoder.decode(isDeflated ? inflate(body, hasHistory, isPatch) : body));
             }
             catch {
                 return malformedResult();
--- a/packages/wire/src/test/frame-history_test.ts
+++ b/packages/wire/src/test/frame-history_test.ts
@@ -20,10 +20,14 @@
         ["short and long values in turns", [{ k: "a" }, documentOf(100, "a"), 5, documentOf(100, "b"), { k: "b" }]],
     ];
     for (const [name, values] of sequences) {
-        for (const chunkBytes of [7, 1_000_000]) {
-            it(`carry ${name}, in chunks of ${chunkBytes} bytes`, () => {
+        const modes: [chunkBytes: number, takesPatches: boolean][] = [[7, false], [1_000_000, false], [7, true], [
+            1_000_000,
+            true,
+        ]];
+        for (const [chunkBytes, takesPatches] of modes) {
+            it(`carry ${name}, in chunks of ${chunkBytes} bytes${takesPatches ? ", with patches" : ""}`, () => {
                 const history = createFrameHistory();
-                const bytes = Buffer.concat(values.map(value => encodeFrameWithHistory(value, history)));
+                const bytes = Buffer.concat(values.map(value => encodeFrameWithHistory(value, history, takesPatches)));
                 const reader = createFrameReader();
                 const received: unknown[] = [];
                 for (let start = 0; start < bytes.length; start += chunkBytes) {
@@ -36,6 +40,32 @@
         }
     }
 
+    const longValues: [name: string, before: unknown[], value: unknown, maxBytes: number][] = [
+        ["a long value after one that differs in a row", [documentOf(3000, "a")], documentOf(3000, "b"), 100],
+        ["a long value after short ones", [documentOf(3000, "a"), 5, documentOf(10, "a")], documentOf(3000, "b"), 100],
+        ["a long value that was patched before", [documentOf(3000, "a"), documentOf(3000, "b")], documentOf(3000, "c"), 100],
+        ["the first long value", [5], documentOf(3000, "b"), Infinity],
+        ["a long value after one that is too long to keep", [documentOf(120_000, "a")], documentOf(3000, "b"), Infinity],
+    ];
+    for (const [name, before, value, maxBytes] of longValues) {
+        it(`carry ${name} as a patch, or whole`, () => {
+            const history = createFrameHistory();
+            const reader = createFrameReader();
+            before.forEach(earlier => reader.push(encodeFrameWithHistory(earlier, history, true)));
+            const frame = encodeFrameWithHistory(value, history, true);
+            expect(reader.push(frame)).to.deep.equal({ ok: true, values: [value] });
+            expect(frame.length).to.be.at.most(maxBytes);
+            expect(frame.length < 1000).to.equal(maxBytes < Infinity);
+        });
+    }
+
+    it("are refused if they hold a patch of a value that the link has not carried", () => {
+        const history = createFrameHistory();
+        encodeFrameWithHistory(documentOf(3000, "a"), history, true);
+        const result = createFrameReader().push(encodeFrameWithHistory(documentOf(3000, "b"), history, true));
+        expect(result.ok).to.equal(false);
+    });
+
     it("have one byte before a short value", () => {
         expect(encodeFrameWithHistory([4, 137], createFrameHistory()).length).to.equal(5);
     });
