Bound what an entry host holds of a failure without end

Cause: 'cassiapick-entry' streams a long success, but kept every failure whole to be able to try again, whatever its length.

Change: beyond 'bufferBytes' a failure is streamed like a success, so that the caller gets the server's own answer at its own pace; of a refusal that says that the request has not run, and of a probe, the body is of no use: the exchange ends and the head counts.

--- a/packages/entry/src/lib/attempt-runner.ts
+++ b/packages/entry/src/lib/attempt-runner.ts
@@ -51,13 +51,18 @@
 const probeTimeoutMs = 2000;
 const emptyBody = Buffer.alloc(0);
 
-/** Discards the part of a probe's answer that exceeds the buffer. */
+/** Discards a probe's answer. */
 const discardingSink: AnswerSink = { begin: () => undefined, write: () => true };
 
 /** Bounds the connections that show whether servers have ended, while servers cut many requests. */
 const endChecks = { burst: 10, ratePerS: 4 };
 
-const attemptClassByEnd: Readonly<Record<Exclude<ExchangeEnd, ExchangeEnd.Complete>, AttemptClass>> = {
+/** The ends that leave a complete head, which then says how the attempt ended. */
+type AnsweredEnd = ExchangeEnd.Complete | ExchangeEnd.Oversized;
+
+const isAnsweredEnd = (end: ExchangeEnd): end is AnsweredEnd => end === ExchangeEnd.Complete || end === ExchangeEnd.Oversized;
+
+const attemptClassByEnd: Readonly<Record<Exclude<ExchangeEnd, AnsweredEnd>, AttemptClass>> = {
     [ExchangeEnd.NotSent]: AttemptClass.NotSent,
     [ExchangeEnd.Cut]: AttemptClass.Cut,
     [ExchangeEnd.Timeout]: AttemptClass.Timeout,
@@ -71,6 +76,7 @@
     [ExchangeEnd.Cut]: ForwardClass.Cut,
     [ExchangeEnd.Timeout]: ForwardClass.Cut,
     [ExchangeEnd.Corrupt]: ForwardClass.Cut,
+    [ExchangeEnd.Oversized]: ForwardClass.Cut,
     [ExchangeEnd.Cancelled]: ForwardClass.Cut,
 };
 
@@ -79,7 +85,7 @@
     firstValue(head.headers[fleetHeaders.outcome]) === "not-run" && head.status >= 400;
 
 const classify = (result: ExchangeResult): AttemptClass => {
-    if (result.end !== ExchangeEnd.Complete) {
+    if (!isAnsweredEnd(result.end)) {
         return attemptClassByEnd[result.end];
     }
     if (result.head === undefined) {
@@ -171,6 +177,7 @@
             reset: !action.idempotent || !dispatchers.mayReuse(origin),
             bufferBytes: options.bufferBytes,
             sink: options.createSink(caller),
+            needsBody: head => !reportsNotRun(head),
             acceptHead,
         });
         runningExchanges.set(action.attemptId, exchange);
@@ -198,6 +205,7 @@
             reset: false,
             bufferBytes: options.bufferBytes,
             sink: options.createSink(caller),
+            needsBody: () => true,
             acceptHead: head => firstValue(head.headers[fleetHeaders.requestId]) === caller.info.requestId,
         });
         void exchange.result.then(result => {
@@ -227,6 +235,7 @@
             reset: true,
             bufferBytes: options.bufferBytes,
             sink: discardingSink,
+            needsBody: () => false,
             acceptHead: head => [undefined, probeId].includes(firstValue(head.headers[fleetHeaders.attempt])),
         });
         void exchange.result.then(result => {
--- a/packages/entry/src/lib/exchange.ts
+++ b/packages/entry/src/lib/exchange.ts
@@ -17,6 +17,8 @@
     Timeout = "timeout",
     /** The completeness of the answer can't be verified, or the answer names another request. */
     Corrupt = "corrupt",
+    /** The body is longer than what is buffered and of no use, so the rest was not read; the head is complete. */
+    Oversized = "oversized",
     /** Cancelled by this host. */
     Cancelled = "cancelled",
 }
@@ -55,9 +57,11 @@
     timeoutMs: number;
     /** Whether to close the connection after the answer. */
     reset: boolean;
-    /** Answers larger than this many bytes are streamed to the sink. */
+    /** Answers larger than this many bytes are streamed to the sink, or ended if their body is of no use. */
     bufferBytes: number;
     sink: AnswerSink;
+    /** Returns whether the body of an answer is of use, judged by its head. */
+    needsBody: (head: AnswerHead) => boolean;
     /** Returns whether the answer may belong to this request, judged by its head. */
     acceptHead: (head: AnswerHead) => boolean;
 }
@@ -68,7 +72,6 @@
     cancel(): void;
 }
 
-const firstServerErrorStatus = 500;
 const noContentStatus = 204;
 const notModifiedStatus = 304;
 
@@ -123,6 +126,16 @@
         }
     };
 
+    /** Bounds what is held of an answer: it may have no end, also if it is a failure. */
+    const endBuffering = (answerHead: AnswerHead): void => {
+        if (options.needsBody(answerHead)) {
+            startStreaming(answerHead);
+            return;
+        }
+        chunks.length = 0;
+        abort(ExchangeEnd.Oversized);
+    };
+
     const handler: Dispatcher.DispatchHandler = {
         onRequestStart: requestController => {
             controller = requestController;
@@ -148,8 +161,8 @@
             bufferedBytes += chunk.length;
             if (!streamed) {
                 chunks.push(chunk);
-                if (bufferedBytes > options.bufferBytes && head.status < firstServerErrorStatus) {
-                    startStreaming(head);
+                if (bufferedBytes > options.bufferBytes) {
+                    endBuffering(head);
                 }
                 return;
             }
