Count a leader's view from the heartbeat that was answered

An entry host could take an old configuration for the newest one for a moment.

Cause: the leader counted the age of its view from the arrival of replies.

Change: each heartbeat starts a round, and a reply confirms the leader as of the start of the round that it answers.

What followers and entry hosts make of an age still counts from its arrival.

--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -5,6 +5,7 @@
 import type { NodeContext } from "./node-context.js";
 import { NodeActionKind, PeerMessageKind } from "./node-messages.js";
 import type { AppendReplyMessage } from "./node-messages.js";
+import { createRoundStarts } from "./round-starts.js";
 
 /** Most entries in one message; a longer backlog is sent in several messages. */
 const maxEntriesPerMessage = 64;
@@ -21,6 +22,8 @@
     /** The latest heartbeat round that the peer replied to. */
     round: number;
     lastReceivedAt: number;
+    /** When the latest round that the peer replied to was started: the peer followed this leader at that time or later. */
+    confirmedAt: number;
     /** The commit index in the last message to the peer. */
     sentCommitIndex: number;
     /** Whether a message is unacknowledged. */
@@ -52,8 +55,9 @@
     /** Handles the request of a host with a new disk to become a voter. */
     receiveJoin(from: string, incarnation: number): void;
     /**
-     * Time since a majority last replied, in milliseconds; `Infinity` until an entry of the current term is committed, as an
-     * earlier leader may have acknowledged entries that are not known to be committed before that.
+     * Time since the start of the latest heartbeat round that a majority replied to, in milliseconds: replies that were held up on
+     * their way, or wait while this host is paused, don't make it recent. `Infinity` until an entry of the current term is committed,
+     * as an earlier leader may have acknowledged entries that are not known to be committed before that.
      */
     quorumAgeMs(): number;
     /** Starts a heartbeat round and returns its number; replies of a majority prove that this host led when it started. */
@@ -81,6 +85,7 @@
     let progress = new Map<string, Progress>();
     let joins = new Map<string, JoinRequest>();
     let round = 0;
+    const roundStarts = createRoundStarts();
     let nextHeartbeatAt = 0;
     let termStartIndex = 0;
 
@@ -90,15 +95,15 @@
         if (!isCaughtUp()) {
             return Infinity;
         }
-        const receivedTimes = Object.entries(ctx.log.voters()).map(([hostId, incarnation]) => {
+        const confirmedTimes = Object.entries(ctx.log.voters()).map(([hostId, incarnation]) => {
             if (hostId === ctx.hostId) {
                 return ctx.now;
             }
             const peer = progress.get(hostId);
-            return peer?.incarnation === incarnation ? peer.lastReceivedAt : -Infinity;
+            return peer?.incarnation === incarnation ? peer.confirmedAt : -Infinity;
         });
-        receivedTimes.sort((a, b) => b - a);
-        return ctx.now - (receivedTimes[quorumSize(ctx.log.voters()) - 1] ?? -Infinity);
+        confirmedTimes.sort((a, b) => b - a);
+        return ctx.now - (confirmedTimes[quorumSize(ctx.log.voters()) - 1] ?? -Infinity);
     };
 
     /** Sends an append message without entries, or with those after `previousIndex`. */
@@ -204,6 +209,7 @@
         matchIndex: 0,
         round: 0,
         lastReceivedAt: ctx.now,
+        confirmedAt: -Infinity,
         sentCommitIndex: 0,
         isAwaitingReply: false,
         inFlightIndex: undefined,
@@ -269,6 +275,7 @@
 
     const startRound = (): number => {
         round += 1;
+        roundStarts.record(round, ctx.now);
         broadcast();
         return round;
     };
@@ -292,6 +299,8 @@
         refreshProgress();
         termStartIndex = ctx.log.lastIndex() + 1;
         nextHeartbeatAt = ctx.now + ctx.timing.heartbeatMs;
+        roundStarts.clear();
+        roundStarts.record(round, ctx.now);
         propose({ kind: EntryKind.Noop });
     };
 
@@ -301,7 +310,7 @@
             return;
         }
         if (ctx.now >= nextHeartbeatAt) {
-            broadcast();
+            startRound();
         }
         processJoins();
         refreshProgress();
@@ -317,9 +326,11 @@
             peer.incarnation = message.incarnation;
             peer.matchIndex = 0;
             peer.round = 0;
+            peer.confirmedAt = -Infinity;
             peer.inFlightIndex = undefined;
         }
         peer.lastReceivedAt = ctx.now;
+        peer.confirmedAt = Math.max(peer.confirmedAt, roundStarts.startOf(message.round));
         peer.isAwaitingReply = false;
         peer.round = Math.max(peer.round, message.round);
         if (message.ok) {
--- a/packages/core/src/test/state-node_test.ts
+++ b/packages/core/src/test/state-node_test.ts
@@ -109,6 +109,27 @@
         node.step(message("b", appendAccepted(1, 2)), electionPassedMs + 50);
         expect(node.viewAgeMs(electionPassedMs + 60)).to.be.at.most(60);
     });
+
+    // Guards against a leader that was paused, and takes replies that waited meanwhile for a confirmation of what it holds.
+    const replyCases: [name: string, repliesToLatest: boolean, arrivesAfterMs: number, expectedAgeMs: number][] = [
+        ["a reply that arrives at once", true, 10, 10],
+        ["a reply that was held up", true, 5000, 5000],
+        ["a reply to an earlier heartbeat", false, 10, 110],
+    ];
+    for (const [name, repliesToLatest, arrivesAfterMs, expectedAgeMs] of replyCases) {
+        it(`counts on the leader from the heartbeat that was answered: ${name}`, () => {
+            const node = createNode(stored());
+            elect(node, 1);
+            node.step(message("b", appendAccepted(1, 2)), electionPassedMs);
+            const roundAt = (now: number): number =>
+                sentMessages(node.step({ kind: NodeEventKind.Tick }, now), PeerMessageKind.Append)[0]!.round;
+            const earlier = roundAt(electionPassedMs + 100);
+            const latest = roundAt(electionPassedMs + 200);
+            const arrivesAt = electionPassedMs + 200 + arrivesAfterMs;
+            node.step(message("b", appendAccepted(1, 2, repliesToLatest ? latest : earlier)), arrivesAt);
+            expect(node.viewAgeMs(arrivesAt)).to.equal(expectedAgeMs);
+        });
+    }
 });
 
 describe("state node", () => {
