Join the chunks of a frame once, when it is complete

A long configuration kept state hosts at work while it arrived.

Cause: the reader of a link joined each chunk with all that had arrived of the frame before, so a long frame was copied once for each of its chunks.

Change: chunks are kept apart until the frame is complete.

--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -112,7 +112,11 @@
 
 /** Creates the reader of one connection. `limitBytes` limits each frame and each inflated value. */
 export const createFrameReader = (limitBytes = maxFrameBytes): FrameReader => {
-    let buffered = Buffer.alloc(0);
+    /** Chunks that are not decoded yet. They are joined when a frame is complete, so that a long frame is copied once. */
+    let chunks: Buffer[] = [];
+    let chunkBytes = 0;
+    /** Length of the incomplete frame at the start of `chunks`, in bytes; 0 while it is unknown. */
+    let awaitedBytes = 0;
     const history = createFrameHistory();
 
     const inflate = (body: Uint8Array, hasHistory: boolean, isPatch: boolean): Buffer => {
@@ -122,9 +126,20 @@
         return hasHistory ? history.inflate(body, limitBytes) : inflateRawSync(body, { maxOutputLength: limitBytes });
     };
 
+    const keep = (rest: Buffer): void => {
+        chunks = rest.length === 0 ? [] : [rest];
+        chunkBytes = rest.length;
+    };
+
     const push = (chunk: Uint8Array): FrameResult => {
-        buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
+        chunks.push(Buffer.from(chunk));
+        chunkBytes += chunk.length;
         const values: unknown[] = [];
+        if (chunkBytes < awaitedBytes) {
+            return { ok: true, values };
+        }
+        awaitedBytes = 0;
+        let buffered = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
         while (buffered.length > 0) {
             const isTiny = buffered[0]! >= tinyBase && buffered[0]! <= tinyBase + maxTinyBytes;
             const prefixBytes = isTiny ? 1 : lengthPrefixBytes;
@@ -141,6 +156,7 @@
             }
             const frameEnd = prefixBytes + bytes;
             if (buffered.length < frameEnd) {
+                awaitedBytes = frameEnd;
                 break;
             }
             try {
@@ -152,8 +168,9 @@
             }
             buffered = buffered.subarray(frameEnd);
         }
+        keep(buffered);
         return { ok: true, values };
     };
 
-    return { push, hasPartialFrame: () => buffered.length > 0 };
+    return { push, hasPartialFrame: () => chunkBytes > 0 };
 };
