Bound the first frame on an accepted connection

Change: the first frame, which says who has connected, may have 16 KB; a longer one is refused by its length, before its content arrives.

The cases of link_test and frame-codec_test that expect a refusal of the first frame failed before.

--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -11,6 +11,8 @@
 const lengthPrefixBytes = 4;
 /** The default limit for a received frame and for its inflated value, in bytes. */
 export const maxFrameBytes = 32 * 1024 * 1024;
+/** The limit for the first frame on an accepted connection, in bytes: it says who has connected. */
+export const maxHelloBytes = 16 * 1024;
 
 /** An invalid frame. The connection that it arrived on must be closed. */
 export type FrameErr =
@@ -110,8 +112,12 @@
     },
 });
 
-/** Creates the reader of one connection. `limitBytes` limits each frame and each inflated value. */
-export const createFrameReader = (limitBytes = maxFrameBytes): FrameReader => {
+/**
+ * Creates the reader of one connection. `maxBytes` limits each frame and each inflated value, and `maxFirstBytes` the first one:
+ * until then, it is not known who has connected.
+ */
+export const createFrameReader = (maxBytes = maxFrameBytes, maxFirstBytes = maxBytes): FrameReader => {
+    let limitBytes = maxFirstBytes;
     /** Chunks that are not decoded yet. They are joined when a frame is complete, so that a long frame is copied once. */
     let chunks: Buffer[] = [];
     let chunkBytes = 0;
@@ -162,6 +168,7 @@
             try {
                 const body = buffered.subarray(prefixBytes, frameEnd);
                 values.push(decoder.decode(isDeflated ? inflate(body, hasHistory, isPatch) : body));
+                limitBytes = maxBytes;
             }
             catch {
                 return malformedResult();
--- a/packages/wire/src/lib/link.ts
+++ b/packages/wire/src/lib/link.ts
@@ -1,7 +1,7 @@
 /** Connections that carry framed messages in both directions. */
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
-import { createFrameReader, encodeCompactFrame } from "./frame-codec.js";
+import { createFrameReader, encodeCompactFrame, maxFrameBytes, maxHelloBytes } from "./frame-codec.js";
 
 /** One open connection. */
 export interface Link {
@@ -61,9 +61,9 @@
     setReceiveTimeout: (receiveTimeoutMs: number) => void;
 }
 
-/** Creates the link of a socket and calls the handlers for its events. */
-const createLink = (socket: Socket, handlers: LinkHandlers): LinkWithTimeout => {
-    const reader = createFrameReader();
+/** Creates the link of a socket and calls the handlers for its events; `maxFirstBytes` limits the first frame that it receives. */
+const createLink = (socket: Socket, handlers: LinkHandlers, maxFirstBytes: number): LinkWithTimeout => {
+    const reader = createFrameReader(maxFrameBytes, maxFirstBytes);
     let closeReason = "The peer closed the connection.";
     let lastReceivedAt = performance.now();
     let timer: NodeJS.Timeout | undefined;
@@ -132,7 +132,7 @@
 export const openLink = (options: OpenLinkOptions, handlers: LinkHandlers): Link => {
     const { host, port, localAddress } = options;
     const socket = connect({ host, port, localAddress, noDelay: true });
-    const { link, setReceiveTimeout } = createLink(socket, handlers);
+    const { link, setReceiveTimeout } = createLink(socket, handlers, maxFrameBytes);
     setReceiveTimeout(options.connectTimeoutMs);
     socket.once("connect", () => {
         setReceiveTimeout(options.receiveTimeoutMs);
@@ -147,7 +147,7 @@
     const server = createServer({ noDelay: true }, socket => {
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
-        const { link, setReceiveTimeout } = createLink(socket, handlers);
+        const { link, setReceiveTimeout } = createLink(socket, handlers, maxHelloBytes);
         setReceiveTimeout(options.receiveTimeoutMs);
         handlers.onOpen?.(link);
     });
--- a/packages/wire/src/lib/rpc-server.ts
+++ b/packages/wire/src/lib/rpc-server.ts
@@ -1,7 +1,7 @@
 /** The server side of the RPC protocol between the programs of the fleet. */
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
-import { createFrameReader, encodeFrame } from "./frame-codec.js";
+import { createFrameReader, encodeFrame, maxFrameBytes, maxHelloBytes } from "./frame-codec.js";
 import { EnvelopeKind, isEnvelope } from "./rpc-message.js";
 import type { Envelope } from "./rpc-message.js";
 
@@ -87,7 +87,7 @@
 
     const server = createServer({ noDelay: true }, socket => {
         sockets.add(socket);
-        const reader = createFrameReader();
+        const reader = createFrameReader(maxFrameBytes, maxHelloBytes);
         const peer: PeerConnection = { socket, hostId: undefined };
         socket.on("data", chunk => {
             const result = reader.push(chunk);
--- a/packages/wire/src/test/frame-codec_test.ts
+++ b/packages/wire/src/test/frame-codec_test.ts
@@ -72,6 +72,23 @@
         });
     }
 
+    const limits: [name: string, lengths: number[], isAccepted: boolean][] = [
+        ["a short frame, then a longer one", [50, 5000], true],
+        ["a first frame beyond its limit", [200], false],
+        ["a later frame beyond the limit of all", [50, limitBytes + 1], false],
+    ];
+    for (const [name, lengths, isAccepted] of limits) {
+        it(`${isAccepted ? "accepts" : "refuses"} ${name}`, () => {
+            const reader = createFrameReader(limitBytes, 100);
+            const results = lengths.map(length => reader.push(encodeFrame(Buffer.alloc(length))).ok);
+            expect(results.every(ok => ok)).to.equal(isAccepted);
+        });
+    }
+
+    it("refuses a frame by its length, before its content arrives", () => {
+        expect(createFrameReader(limitBytes, 100).push(Buffer.from([0, 0, 1, 0])).ok).to.equal(false);
+    });
+
     it("does not let a value set its prototype", () => {
         const body = Buffer.from("a1695f5f70726f746f5f5fa1616101", "hex");
         const result = createFrameReader(limitBytes).push(frameOf(body));
--- a/packages/wire/src/test/link_test.ts
+++ b/packages/wire/src/test/link_test.ts
@@ -49,6 +49,23 @@
         });
     }
 
+    // Guards against peers that have not said who they are and let the host hold as much as the longest frame for each connection.
+    const firstMessages: [name: string, first: unknown, isAccepted: boolean][] = [
+        ["takes a short first message", { hello: "a".repeat(1000) }, true],
+        ["refuses a long first message", { hello: Buffer.alloc(20_000) }, false],
+    ];
+    for (const [name, first, isAccepted] of firstMessages) {
+        it(`${name} on an accepted connection`, async () => {
+            server = await createLinkServer({ host, port: 0, receiveTimeoutMs: 0 }, {
+                onMessage: echoAndClose,
+                onClose: () => undefined,
+            });
+            const result = openAndSend(server.port, first);
+            await result.closed;
+            expect(result.messages.length).to.equal(isAccepted ? 1 : 0);
+        });
+    }
+
     it("closes a connection on which nothing is received", async () => {
         server = await createLinkServer({ host, port: 0, receiveTimeoutMs: 0 }, {
             onMessage: () => undefined,
