--- a/packages/wire/src/test/frame-history_test.ts
+++ b/packages/wire/src/test/frame-history_test.ts
@@ -17,6 +17,12 @@
         ["values around the longest with a short length", [28, 29, 30, 31, 32, 33].map(length => "a".repeat(length))],
         ["a document and its changes", [documentOf(300, "a"), documentOf(300, "b"), documentOf(300, "c")]],
         ["documents longer than the window", [documentOf(3000, "a"), documentOf(3000, "b"), documentOf(10, "c")]],
+        ["long values with nothing in common", [
+            documentOf(3000, "a"),
+            "z".repeat(100_000),
+            documentOf(2500, "q"),
+            documentOf(2500, "r"),
+        ]],
         ["short and long values in turns", [{ k: "a" }, documentOf(100, "a"), 5, documentOf(100, "b"), { k: "b" }]],
     ];
     for (const [name, values] of sequences) {
