--- a/packages/control/src/test/consensus-bytes_test.ts
+++ b/packages/control/src/test/consensus-bytes_test.ts
@@ -142,7 +142,7 @@
 
 describe("messages between state hosts", () => {
     // The goal for what hosts tell each other is a quarter of the bytes before (issue 37): of whole messages that were repeated
-    // until they were acknowledged.
+    // until they were acknowledged, or of whole messages that are not repeated where that is less.
     const cases: [name: string, lengthMs: number, bytesBefore: number, requestAt: Parameters<typeof play>[1]][] = [
         ["in 10 s without a change", 10_000, 47_275, () => []],
         [
