Collect bodies in memory that is in proportion to their bytes

Cause: everything that reads a body or a frame kept each piece as the buffer in which it arrived, and bounded the bytes only. The HTTP parser makes one buffer for each chunk: 200,000 chunks of one byte took 196 bytes of heap and 540 bytes of resident memory each, so 256 KiB of an answer took about 140 MB. A paused stream does the same with what the parser has already delivered, and a caller that reads nothing leaves each write of a byte in a queue.

Change: createByteCollector copies short pieces into blocks. Bodies always flow into it: a long answer stops the connection (read-gate) rather than the parsed stream, and its rest is written one part at a time (body-rest). The byte budget counts the blocks, not the bytes.

--- a/packages/entry/src/lib/admin-server.ts
+++ b/packages/entry/src/lib/admin-server.ts
@@ -2,6 +2,7 @@
 import { ServerState } from "@cassiapick/core";
 import type { Announcement, ClockEcho } from "@cassiapick/core";
 import type { TokenSet } from "@cassiapick/operations";
+import { collectBytes } from "@cassiapick/wire";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { z } from "zod";
@@ -63,16 +64,11 @@
 const bearerTokenOf = (req: IncomingMessage): string => /^Bearer (.+)$/.exec(req.headers.authorization ?? "")?.[1] ?? "";
 
 const readJson = async (req: IncomingMessage): Promise<unknown> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxAnnouncementBytes) {
-            throw new Error(`The announcement is larger than ${maxAnnouncementBytes} bytes. Send a smaller one.`);
-        }
-        chunks.push(chunk);
+    const body = await collectBytes(req, maxAnnouncementBytes);
+    if (body === undefined) {
+        throw new Error(`The announcement is larger than ${maxAnnouncementBytes} bytes. Send a smaller one.`);
     }
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    return JSON.parse(body.toString("utf8"));
 };
 
 const describeIssues = (error: z.ZodError): string =>
--- a/packages/entry/src/lib/caller-server.ts
+++ b/packages/entry/src/lib/caller-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads requests and serves entry host addresses. */
 import { requestKeyOf } from "@cassiapick/operations";
+import { collectBytes } from "@cassiapick/wire";
 import { createHash, randomUUID, timingSafeEqual } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -41,20 +42,6 @@
     res.end(JSON.stringify({ kind: "bad-request", outcome: "not-run", message }));
 };
 
-/** Reads the body; `undefined` when it is larger than `maxBytes`. */
-const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-};
-
 /** Returns the brand from its header, or else the first label of the host name. */
 const brandOf = (req: IncomingMessage): string =>
     firstValue(req.headers[fleetHeaders.brand]) ?? (req.headers.host ?? "").split(/[.:]/)[0] ?? "";
@@ -118,7 +105,7 @@
             res.end(JSON.stringify(options.onAddresses(query.get("brand") ?? undefined, query.get("kind") ?? undefined)));
             return;
         }
-        const body = await readBody(req, options.maxBodyBytes);
+        const body = await collectBytes(req, options.maxBodyBytes);
         if (body === undefined) {
             rejectRequest(
                 res,
--- a/packages/entry/src/lib/exchange.ts
+++ b/packages/entry/src/lib/exchange.ts
@@ -3,6 +3,7 @@
  * the entry hosts of the platform use the exchange in `@cassiapick/gateway`.
  */
 import { isFinalStatus } from "@cassiapick/core";
+import { createByteCollector } from "@cassiapick/wire";
 import type { Dispatcher } from "undici";
 import type { HeaderMap } from "./headers.js";
 
@@ -88,7 +89,7 @@
     const result = new Promise<ExchangeResult>(resolve => {
         resolveResult = resolve;
     });
-    const chunks: Buffer[] = [];
+    const body = createByteCollector();
     let bufferedBytes = 0;
     let isHandedToSocket = false;
     let streamed = false;
@@ -103,7 +104,7 @@
         }
         isFinished = true;
         clearTimeout(timer);
-        resolveResult({ end, head, body: Buffer.concat(chunks), streamed });
+        resolveResult({ end, head, body: body.take(), streamed });
     };
 
     const abort = (end: ExchangeEnd): void => {
@@ -122,9 +123,7 @@
     const startStreaming = (answerHead: AnswerHead): void => {
         streamed = true;
         options.sink.begin(answerHead);
-        for (const chunk of chunks.splice(0)) {
-            options.sink.write(chunk, () => undefined);
-        }
+        options.sink.write(body.take(), () => undefined);
     };
 
     /** Bounds what is held of an answer: it may have no end, also if it is a failure. */
@@ -133,7 +132,7 @@
             startStreaming(answerHead);
             return;
         }
-        chunks.length = 0;
+        body.take();
         abort(ExchangeEnd.Oversized);
     };
 
@@ -161,7 +160,7 @@
             }
             bufferedBytes += chunk.length;
             if (!streamed) {
-                chunks.push(chunk);
+                body.push(chunk);
                 if (bufferedBytes > options.bufferBytes) {
                     endBuffering(head);
                 }
--- a/packages/gateway/src/lib/answer-writer.ts
+++ b/packages/gateway/src/lib/answer-writer.ts
@@ -1,7 +1,9 @@
 /** Writes the bodies of answers whose heads have been written: small ones at once, large ones in turns on the host's link. */
 import { createLinkSchedule } from "@cassiapick/core";
 import type { ByteBudget, Transfer } from "@cassiapick/core";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
+import type { Readable } from "node:stream";
+import { maxBodyRestBytes } from "./body-rest.js";
 import type { ServerAnswer } from "./http-call.js";
 
 /** Options of {@link createAnswerWriter}. */
@@ -31,7 +33,7 @@
 const maxUnreadMs = 15_000;
 
 /** Streams the rest of a body as fast as the caller reads it. A truncated body must not look complete, so `res` is destroyed then. */
-const streamRest = (res: ServerResponse, stream: IncomingMessage, isComplete: () => boolean): void => {
+const streamRest = (res: ServerResponse, stream: Readable, isComplete: () => boolean): void => {
     stream.on("error", () => res.destroy());
     stream.on("end", () => {
         if (isComplete()) {
@@ -42,12 +44,16 @@
         }
     });
     stream.on("close", () => {
-        if (!stream.complete) {
+        if (!stream.readableEnded) {
             res.destroy();
         }
     });
     res.on("close", () => stream.destroy());
-    stream.pipe(res, { end: false });
+    // One part is under way at a time, so that short ones don't queue up behind a caller that reads nothing.
+    stream.on("data", (part: Buffer) => {
+        stream.pause();
+        res.write(part, () => stream.resume());
+    });
 };
 
 /** Creates the writer of one host. */
@@ -103,6 +109,8 @@
             budget.add(body.length);
             res.once("close", () => budget.remove(body.length));
             if (stream !== undefined) {
+                budget.add(maxBodyRestBytes);
+                res.once("close", () => budget.remove(maxBodyRestBytes));
                 res.write(body);
                 streamRest(res, stream, () => answer.isComplete?.() === true);
             }
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -4,13 +4,17 @@
  */
 import { AttemptOutcome } from "@cassiapick/core";
 import type { ByteBudget } from "@cassiapick/core";
-import { splitAddress } from "@cassiapick/wire";
+import { createByteCollector, splitAddress } from "@cassiapick/wire";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { connect, Socket } from "node:net";
+import type { Readable } from "node:stream";
 import { afterArrivedEvents } from "./after-arrived-events.js";
+import { createBodyRest } from "./body-rest.js";
+import type { BodyRest } from "./body-rest.js";
 import { describeFraming, isCloseDelimited } from "./framing.js";
 import type { RawHeaders } from "./headers.js";
+import { createReadGate } from "./read-gate.js";
 import { createRepeatedAnswerFinder } from "./repeated-answer.js";
 
 /** Opens a connection to "host:port" from a local address. */
@@ -33,7 +37,7 @@
     headers: RawHeaders;
     body: Buffer;
     /** The rest of a body that is too long to be buffered; it may still be truncated. */
-    stream?: IncomingMessage;
+    stream?: Readable;
     /** Whether the body was complete; to be called after `stream` has ended. */
     isComplete?: () => boolean;
 }
@@ -123,7 +127,8 @@
     });
     const startedAt = performance.now();
     const { budget, maxBufferedBytes = defaultMaxBufferedBytes } = options;
-    let bufferedBytes = 0;
+    /** The memory that the first part of the answer takes. */
+    let heldBytes = 0;
     let isFinished = false;
     let interimResponses = 0;
     let response: IncomingMessage | undefined;
@@ -153,7 +158,7 @@
         clearTimeout(timer);
         clearTimeout(connectTimer);
         // Whoever writes the answer to the caller counts what it holds.
-        budget?.remove(bufferedBytes);
+        budget?.remove(heldBytes);
         resolveResult({ outcome, detail, answer });
         if (answer?.stream === undefined) {
             client.destroy();
@@ -178,13 +183,14 @@
     const isComplete = (res: IncomingMessage): boolean => res.complete && (!isCloseDelimited(res.rawHeaders) || hasOrderlyEnd);
 
     const readBody = (res: IncomingMessage, { status, headers }: Extract<ResponseHead, { kind: "answer"; }>): void => {
-        const chunks: Buffer[] = [];
+        const collector = createByteCollector();
+        let rest: BodyRest | undefined;
         const finder = isCloseDelimited(res.rawHeaders)
             ? createRepeatedAnswerFinder({ status, headers }, options.answerHeaders ?? [])
             : undefined;
-        const finishWithAnswer = (stream?: IncomingMessage, body: Buffer = Buffer.concat(chunks)): void => {
+        const finishWithAnswer = (stream?: Readable, body: Buffer = collector.take()): void => {
             const outcome = status >= serverErrorStatus ? AttemptOutcome.ServerError : AttemptOutcome.Answered;
-            finish(outcome, `status ${status}, ${describeFraming(res.rawHeaders)}, ${bufferedBytes} bytes`, {
+            finish(outcome, `status ${status}, ${describeFraming(res.rawHeaders)}, ${body.length} bytes`, {
                 status,
                 headers,
                 body,
@@ -195,34 +201,56 @@
         if (finder !== undefined) {
             res.on("data", (chunk: Buffer) => finder.push(chunk));
         }
-        const collect = (chunk: Buffer): void => {
+        const startStreaming = (): void => {
+            rest = createBodyRest(createReadGate(socket), () => client.destroy());
+            // Its reader sees that the body is incomplete; the log has the end of the call.
+            rest.stream.on("error", () => undefined);
+            finishWithAnswer(rest.stream);
+        };
+        // The answer always flows: one that is paused keeps each piece as a buffer of its own.
+        res.on("data", (piece: Buffer) => {
+            if (rest !== undefined) {
+                rest.push(piece);
+            }
             if (isFinished) {
                 return;
             }
-            chunks.push(chunk);
-            bufferedBytes += chunk.length;
-            budget?.add(chunk.length);
-            if (bufferedBytes > maxBufferedBytes || (bufferedBytes > alwaysBufferedBytes && budget?.hasRoom(0) === false)) {
-                res.pause();
-                res.off("data", collect);
-                finishWithAnswer(res);
+            const heldBefore = collector.heldBytes();
+            collector.push(piece);
+            heldBytes += collector.heldBytes() - heldBefore;
+            budget?.add(collector.heldBytes() - heldBefore);
+            const isShort = collector.length() > alwaysBufferedBytes && budget?.hasRoom(0) === false;
+            if (collector.length() > maxBufferedBytes || isShort) {
+                startStreaming();
             }
-        };
-        res.on("data", collect);
+        });
         res.on("end", () => {
+            if (rest !== undefined) {
+                rest.end();
+                return;
+            }
             if (!isComplete(res)) {
                 fail(AttemptOutcome.Broken, "the answer ended early");
                 return;
             }
-            const first = finder?.hasSecond() === true ? finder.firstOf(Buffer.concat(chunks)) : undefined;
-            if (finder?.hasSecond() === true && first === undefined) {
+            const body = collector.take();
+            const first = finder?.hasSecond() === true ? finder.firstOf(body) : body;
+            if (first === undefined) {
                 fail(AttemptOutcome.Broken, "another answer follows in a body without a length");
                 return;
             }
             finishWithAnswer(undefined, first);
         });
-        res.on("error", err => fail(AttemptOutcome.Broken, `the answer broke off: ${err.message}`));
-        res.on("close", () => fail(AttemptOutcome.Broken, "the answer broke off"));
+        const breakOff = (err?: Error): void => {
+            rest?.stream.destroy(err);
+            fail(AttemptOutcome.Broken, err === undefined ? "the answer broke off" : `the answer broke off: ${err.message}`);
+        };
+        res.on("error", breakOff);
+        res.on("close", () => {
+            if (!res.readableEnded) {
+                breakOff();
+            }
+        });
     };
 
     const sendBody = (): void => {
--- a/packages/gateway/src/lib/read-body.ts
+++ b/packages/gateway/src/lib/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a request, within the bytes that the host may hold. */
 import type { ByteBudget } from "@cassiapick/core";
+import { createByteCollector } from "@cassiapick/wire";
 import type { IncomingMessage } from "node:http";
 import { headerValue } from "./headers.js";
 
@@ -32,7 +33,7 @@
 export const readBody = (req: IncomingMessage, { maxBytes, budget }: ReadBodyOptions): Promise<BodyResult> =>
     new Promise(resolve => {
         const length = contentLengthOf(req);
-        const chunks: Buffer[] = [];
+        const collector = createByteCollector();
         let bytes = 0;
         let heldBytes = 0;
         let isEnded = false;
@@ -49,7 +50,7 @@
             isEnded = true;
             if (result.kind !== "complete") {
                 release();
-                chunks.length = 0;
+                collector.take();
             }
             resolve(result);
         };
@@ -83,19 +84,20 @@
                 return;
             }
             if (whole === undefined) {
-                // While the chunks are joined, they exist twice.
-                if (!hold(2 * chunk.length)) {
+                const before = collector.heldBytes();
+                collector.push(chunk);
+                // While the pieces are joined, they exist twice.
+                if (!hold(collector.heldBytes() - before + chunk.length)) {
                     end({ kind: "no-room" });
                     return;
                 }
-                chunks.push(chunk);
             }
             else {
                 chunk.copy(whole, bytes);
             }
             bytes += chunk.length;
         });
-        req.on("end", () => end({ kind: "complete", body: whole ?? Buffer.concat(chunks), release }));
+        req.on("end", () => end({ kind: "complete", body: whole ?? collector.take(), release }));
         req.on("close", () => end({ kind: "cut" }));
         req.on("error", () => end({ kind: "cut" }));
     });
--- a/packages/operations/src/lib/entry-client.ts
+++ b/packages/operations/src/lib/entry-client.ts
@@ -1,5 +1,7 @@
 /** Fetches the status of entry hosts from their admin addresses. */
 import type { EntryStatus } from "@cassiapick/core";
+import { collectBytes } from "@cassiapick/wire";
+import type { Readable } from "node:stream";
 import { request } from "undici";
 import { isEntryStatus } from "./entry-status-schema.js";
 
@@ -41,17 +43,13 @@
         : `It answered HTTP ${statusCode}. Check that this is its admin address.`;
 
 /** Reads a body as text; throws when it is longer than {@link maxAnswerBytes}. */
-const readBody = async (body: AsyncIterable<Buffer>): Promise<string> => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    for await (const chunk of body) {
-        receivedBytes += chunk.length;
-        if (receivedBytes > maxAnswerBytes) {
-            throw new Error(`The answer is longer than ${maxAnswerBytes} bytes`);
-        }
-        chunks.push(chunk);
+const readBody = async (body: Readable): Promise<string> => {
+    const bytes = await collectBytes(body, maxAnswerBytes);
+    if (bytes === undefined) {
+        body.destroy();
+        throw new Error(`The answer is longer than ${maxAnswerBytes} bytes`);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return bytes.toString("utf8");
 };
 
 /** Creates a client for the admin addresses of entry hosts. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,7 @@
 /** RPC calls and messages between the programs of the fleet: cbor-x values in frames over TCP. */
 export * from "./lib/address.js";
+export * from "./lib/byte-collector.js";
+export * from "./lib/collect-bytes.js";
 export * from "./lib/frame-codec.js";
 export * from "./lib/frame-history.js";
 export * from "./lib/link.js";
--- a/packages/wire/src/lib/frame-codec.ts
+++ b/packages/wire/src/lib/frame-codec.ts
@@ -5,6 +5,7 @@
  */
 import { Decoder, Encoder } from "cbor-x";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { createByteCollector } from "./byte-collector.js";
 import { createFrameHistory } from "./frame-history.js";
 import type { FrameHistory } from "./frame-history.js";
 
@@ -118,10 +119,9 @@
  */
 export const createFrameReader = (maxBytes = maxFrameBytes, maxFirstBytes = maxBytes): FrameReader => {
     let limitBytes = maxFirstBytes;
-    /** Chunks that are not decoded yet. They are joined when a frame is complete, so that a long frame is copied once. */
-    let chunks: Buffer[] = [];
-    let chunkBytes = 0;
-    /** Length of the incomplete frame at the start of `chunks`, in bytes; 0 while it is unknown. */
+    /** Bytes that are not decoded yet. They are joined when a frame is complete, so that a long frame is copied once. */
+    const pending = createByteCollector();
+    /** Length of the incomplete frame at the start of `pending`, in bytes; 0 while it is unknown. */
     let awaitedBytes = 0;
     const history = createFrameHistory();
 
@@ -132,20 +132,14 @@
         return hasHistory ? history.inflate(body, limitBytes) : inflateRawSync(body, { maxOutputLength: limitBytes });
     };
 
-    const keep = (rest: Buffer): void => {
-        chunks = rest.length === 0 ? [] : [rest];
-        chunkBytes = rest.length;
-    };
-
     const push = (chunk: Uint8Array): FrameResult => {
-        chunks.push(Buffer.from(chunk));
-        chunkBytes += chunk.length;
+        pending.push(chunk);
         const values: unknown[] = [];
-        if (chunkBytes < awaitedBytes) {
+        if (pending.length() < awaitedBytes) {
             return { ok: true, values };
         }
         awaitedBytes = 0;
-        let buffered = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+        let buffered = pending.take();
         while (buffered.length > 0) {
             const isTiny = buffered[0]! >= tinyBase && buffered[0]! <= tinyBase + maxTinyBytes;
             const prefixBytes = isTiny ? 1 : lengthPrefixBytes;
@@ -175,9 +169,9 @@
             }
             buffered = buffered.subarray(frameEnd);
         }
-        keep(buffered);
+        pending.push(buffered);
         return { ok: true, values };
     };
 
-    return { push, hasPartialFrame: () => chunkBytes > 0 };
+    return { push, hasPartialFrame: () => pending.length() > 0 };
 };
