Pace bodies in very short pieces

Cause: each piece costs the HTTP parser and its listeners about a microsecond, so one such connection takes a whole core, and up to 32 reads of it are handled before another connection has its turn.

Change: createPieceBudget (core) is a token bucket for short pieces, one for each host; createPiecePacer closes the connection's gate while the bucket is in debt.

--- a/packages/entry/src/lib/admin-server.ts
+++ b/packages/entry/src/lib/admin-server.ts
@@ -1,8 +1,8 @@
 /** HTTP server for the announcements of backend servers and for operators. */
-import { ServerState } from "@cassiapick/core";
-import type { Announcement, ClockEcho } from "@cassiapick/core";
+import { createPieceBudget, ServerState } from "@cassiapick/core";
+import type { Announcement, ClockEcho, PieceBudget } from "@cassiapick/core";
 import type { TokenSet } from "@cassiapick/operations";
-import { collectBytes } from "@cassiapick/wire";
+import { collectBytes, createPiecePacer, createReadGate } from "@cassiapick/wire";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { z } from "zod";
@@ -63,8 +63,11 @@
 
 const bearerTokenOf = (req: IncomingMessage): string => /^Bearer (.+)$/.exec(req.headers.authorization ?? "")?.[1] ?? "";
 
-const readJson = async (req: IncomingMessage): Promise<unknown> => {
-    const body = await collectBytes(req, maxAnnouncementBytes);
+const readJson = async (req: IncomingMessage, pieceBudget: PieceBudget): Promise<unknown> => {
+    const body = await collectBytes(req, {
+        maxBytes: maxAnnouncementBytes,
+        pacer: createPiecePacer(createReadGate(req.socket), pieceBudget),
+    });
     if (body === undefined) {
         throw new Error(`The announcement is larger than ${maxAnnouncementBytes} bytes. Send a smaller one.`);
     }
@@ -76,6 +79,8 @@
 
 /** Creates the server; the caller of this function makes it listen. */
 export const createAdminServer = (options: AdminServerOptions): Server => {
+    const pieceBudget = createPieceBudget();
+
     const handleAnnouncement = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         if (!options.announceTokens.accepts(bearerTokenOf(req))) {
             sendJson(res, 401, {
@@ -83,7 +88,7 @@
             });
             return;
         }
-        const parsed = announcementSchema.safeParse(await readJson(req));
+        const parsed = announcementSchema.safeParse(await readJson(req, pieceBudget));
         if (!parsed.success) {
             sendJson(res, 400, {
                 message: `The announcement is not valid: ${describeIssues(parsed.error)}. Correct it and announce again.`,
--- a/packages/entry/src/lib/attempt-runner.ts
+++ b/packages/entry/src/lib/attempt-runner.ts
@@ -1,5 +1,5 @@
 /** Sends attempts and probes to backend servers, and forwards requests to other entry hosts. */
-import { AttemptClass, createTrialBudget, EntryEventKind, ForwardClass } from "@cassiapick/core";
+import { AttemptClass, createPieceBudget, createTrialBudget, EntryEventKind, ForwardClass } from "@cassiapick/core";
 import type { EntryAction, EntryActionKind, EntryEvent, StoredAnswer } from "@cassiapick/core";
 import type { PendingCaller } from "./caller-answer-writer.js";
 import { ExchangeEnd, startExchange } from "./exchange.js";
@@ -115,6 +115,7 @@
 export const createAttemptRunner = (options: AttemptRunnerOptions): AttemptRunner => {
     const { dispatchers } = options;
     const runningExchanges = new Map<string, Exchange>();
+    const pieceBudget = createPieceBudget();
     const checkBudget = createTrialBudget(endChecks);
     const completeAnswers = new Map<string, ExchangeResult>();
 
@@ -176,6 +177,7 @@
             // An option of undici: the connection is closed after the answer.
             reset: !action.idempotent || !dispatchers.mayReuse(origin),
             bufferBytes: options.bufferBytes,
+            pieceBudget,
             sink: options.createSink(caller),
             needsBody: head => !reportsNotRun(head),
             acceptHead,
@@ -204,6 +206,7 @@
             timeoutMs,
             reset: false,
             bufferBytes: options.bufferBytes,
+            pieceBudget,
             sink: options.createSink(caller),
             needsBody: () => true,
             acceptHead: head => firstValue(head.headers[fleetHeaders.requestId]) === caller.info.requestId,
@@ -234,6 +237,7 @@
             timeoutMs: probeTimeoutMs,
             reset: true,
             bufferBytes: options.bufferBytes,
+            pieceBudget,
             sink: discardingSink,
             needsBody: () => false,
             acceptHead: head => [undefined, probeId].includes(firstValue(head.headers[fleetHeaders.attempt])),
--- a/packages/entry/src/lib/caller-server.ts
+++ b/packages/entry/src/lib/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: reads requests and serves entry host addresses. */
+import { createPieceBudget } from "@cassiapick/core";
 import { requestKeyOf } from "@cassiapick/operations";
-import { collectBytes } from "@cassiapick/wire";
+import { collectBytes, createPiecePacer, createReadGate } from "@cassiapick/wire";
 import { createHash, randomUUID, timingSafeEqual } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -61,6 +62,7 @@
 
 /** Creates the server; the caller of this function makes it listen. */
 export const createCallerServer = (options: CallerServerOptions): Server => {
+    const pieceBudget = createPieceBudget();
     const createPendingCaller = (req: IncomingMessage, res: ServerResponse, body: Buffer): PendingCaller => {
         const path = req.url ?? "/";
         const method = req.method ?? "GET";
@@ -105,7 +107,10 @@
             res.end(JSON.stringify(options.onAddresses(query.get("brand") ?? undefined, query.get("kind") ?? undefined)));
             return;
         }
-        const body = await collectBytes(req, options.maxBodyBytes);
+        const body = await collectBytes(req, {
+            maxBytes: options.maxBodyBytes,
+            pacer: createPiecePacer(createReadGate(req.socket), pieceBudget),
+        });
         if (body === undefined) {
             rejectRequest(
                 res,
--- a/packages/entry/src/lib/exchange.ts
+++ b/packages/entry/src/lib/exchange.ts
@@ -3,7 +3,8 @@
  * the entry hosts of the platform use the exchange in `@cassiapick/gateway`.
  */
 import { isFinalStatus } from "@cassiapick/core";
-import { createByteCollector } from "@cassiapick/wire";
+import type { PieceBudget } from "@cassiapick/core";
+import { createByteCollector, createGate, createPiecePacer, GateReason } from "@cassiapick/wire";
 import type { Dispatcher } from "undici";
 import type { HeaderMap } from "./headers.js";
 
@@ -61,6 +62,8 @@
     reset: boolean;
     /** Answers larger than this many bytes are streamed to the sink, or ended if their body is of no use. */
     bufferBytes: number;
+    /** The short pieces of bodies that the host takes. */
+    pieceBudget?: PieceBudget;
     sink: AnswerSink;
     /** Returns whether the body of an answer is of use, judged by its head. */
     needsBody: (head: AnswerHead) => boolean;
@@ -98,12 +101,16 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isFinished = false;
 
+    const gate = createGate(() => controller?.pause(), () => controller?.resume());
+    const pacer = createPiecePacer(gate, options.pieceBudget);
+
     const finish = (end: ExchangeEnd): void => {
         if (isFinished) {
             return;
         }
         isFinished = true;
         clearTimeout(timer);
+        pacer.stop();
         resolveResult({ end, head, body: body.take(), streamed });
     };
 
@@ -154,7 +161,8 @@
                 abort(ExchangeEnd.Corrupt);
             }
         },
-        onResponseData: (responseController, chunk) => {
+        onResponseData: (_responseController, chunk) => {
+            pacer.count(chunk.length);
             if (isFinished || head === undefined) {
                 return;
             }
@@ -166,8 +174,8 @@
                 }
                 return;
             }
-            if (!options.sink.write(chunk, () => responseController.resume())) {
-                responseController.pause();
+            if (!options.sink.write(chunk, () => gate.open(GateReason.Unread))) {
+                gate.close(GateReason.Unread);
             }
         },
         onResponseEnd: () => finish(ExchangeEnd.Complete),
--- a/packages/gateway/src/lib/body-rest.ts
+++ b/packages/gateway/src/lib/body-rest.ts
@@ -2,9 +2,9 @@
  * The rest of a body that is too long to be buffered, as a stream. A stream that its reader has stopped keeps each piece as a buffer
  * of its own; this one joins them, and stops reading from the connection instead.
  */
-import { createByteCollector } from "@cassiapick/wire";
+import { createByteCollector, GateReason } from "@cassiapick/wire";
+import type { ReadGate } from "@cassiapick/wire";
 import { Readable } from "node:stream";
-import type { ReadGate } from "./read-gate.js";
 
 /** A body whose first part has been read. */
 export interface BodyRest {
@@ -23,7 +23,7 @@
 export const maxBodyRestBytes = 3 * maxPendingBytes;
 
 /** Creates the rest of a body that arrives through `gate`; `onDestroyed` is called when its reader wants no more of it. */
-export const createBodyRest = (gate: Pick<ReadGate, "open" | "close">, onDestroyed: () => void): BodyRest => {
+export const createBodyRest = (gate: ReadGate, onDestroyed: () => void): BodyRest => {
     const pending = createByteCollector();
     let isWanted = false;
     let isEnded = false;
@@ -37,7 +37,7 @@
         if (pending.length() > 0) {
             isWanted = false;
             stream.push(pending.take());
-            gate.open();
+            gate.open(GateReason.Unread);
         }
         else if (isEnded) {
             stream.push(null);
@@ -73,7 +73,7 @@
             }
             pending.push(piece);
             if (pending.length() >= maxPendingBytes) {
-                gate.close();
+                gate.close(GateReason.Unread);
             }
             deliverSoon();
         },
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -1,6 +1,6 @@
 /** Serves callers over HTTP: reads and routes requests, runs them, and forwards the answers. */
 import { maxParsedHeadBytes } from "@cassiapick/core";
-import type { ByteBudget, CallerLimits } from "@cassiapick/core";
+import type { ByteBudget, CallerLimits, PieceBudget } from "@cassiapick/core";
 import { requestKeyOf, trackConnections } from "@cassiapick/operations";
 import type { EventLog } from "@cassiapick/operations";
 import { createServer } from "node:http";
@@ -29,6 +29,8 @@
     metrics: GatewayMetrics;
     /** The bytes of requests and answers that this host may hold. */
     budget?: ByteBudget;
+    /** The short pieces of bodies that this host takes. */
+    pieceBudget?: PieceBudget;
 }
 
 /** HTTP server for callers. */
@@ -163,7 +165,11 @@
 
     const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const arrivedAt = clock();
-        const read = await readBody(req, { maxBytes: limits.maxBodyBytes, budget: options.budget });
+        const read = await readBody(req, {
+            maxBytes: limits.maxBodyBytes,
+            budget: options.budget,
+            pieceBudget: options.pieceBudget,
+        });
         if (read.kind === "too-long") {
             respond(req, res, 413, `The body is longer than ${limits.maxBodyBytes} bytes. Send a shorter one.`, undefined, true);
         }
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -4,6 +4,7 @@
     createHostRetryBudget,
     createPathMonitor,
     createPeerSelector,
+    createPieceBudget,
     createRouteLatencyTracker,
     createServerLimits,
     createServerPool,
@@ -99,6 +100,7 @@
         metrics,
     });
 
+    const pieceBudget = createPieceBudget();
     const answerMemory = createAnswerMemory(options.memoryBytes, options.linkBytesPerMs);
     const answerWriter = createAnswerWriter({ budget: answerMemory.budget, linkBytesPerMs: options.linkBytesPerMs, clock });
     const quotas = createQuotaGate({
@@ -122,6 +124,7 @@
         onLimitAnswer: answer => limits.recordAnswer(answer, clock()),
         viewAgeMs: () => link.viewAgeMs(),
         answerBudget: answerMemory.budget,
+        pieceBudget,
     };
 
     const forwardServer = createForwardServer({
@@ -140,6 +143,7 @@
                     runRequest(req, { ...attemptDependencies, retryBudget, admission, peers, metrics, random: options.random })),
         answerWriter,
         budget: answerMemory.budget,
+        pieceBudget,
         clock,
         log,
         metrics,
--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -3,7 +3,7 @@
  * platform; the program `cassiapick-entry` has its own exchange in `@cassiapick/entry`.
  */
 import { AttemptOutcome, isFinalStatus } from "@cassiapick/core";
-import type { ByteBudget } from "@cassiapick/core";
+import type { ByteBudget, PieceBudget } from "@cassiapick/core";
 import type { IncomingMessage } from "node:http";
 import { headerValue } from "./headers.js";
 import type { HeaderNames, RawHeaders } from "./headers.js";
@@ -50,6 +50,8 @@
     maxBufferedBytes?: number;
     /** The bytes of answers that the host may hold. */
     budget?: ByteBudget;
+    /** The short pieces of bodies that the host takes. */
+    pieceBudget?: PieceBudget;
     onConnected?: () => void;
 }
 
@@ -151,6 +153,7 @@
         timeoutMs: options.timeoutMs,
         maxBufferedBytes: options.maxBufferedBytes,
         budget: options.budget,
+        pieceBudget: options.pieceBudget,
         onConnected: options.onConnected,
         readHead,
         answerHeaders: answerHeadersOf(headerNames),
--- a/packages/gateway/src/lib/forward-attempt.ts
+++ b/packages/gateway/src/lib/forward-attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a request through another entry host, which sends it to a backend server. */
 import { AttemptOutcome } from "@cassiapick/core";
-import type { ByteBudget, EntryPeer, PeerSelector, ServerPool } from "@cassiapick/core";
+import type { ByteBudget, EntryPeer, PeerSelector, PieceBudget, ServerPool } from "@cassiapick/core";
 import type { EventLog } from "@cassiapick/operations";
 import type { IncomingMessage } from "node:http";
 import { attemptTimeoutMarginMs, maxBufferedBytesOf, remainingMsAt } from "./attempt.js";
@@ -26,6 +26,8 @@
     log: EventLog;
     /** The bytes of answers that this host may hold. */
     answerBudget?: ByteBudget;
+    /** The short pieces of bodies that this host takes. */
+    pieceBudget?: PieceBudget;
 }
 
 /** Timeout for the connection and the peer's confirmation, in milliseconds: two round trips between regions, and a lost packet. */
@@ -81,6 +83,7 @@
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
         maxBufferedBytes: maxBufferedBytesOf(req),
         budget: dependencies.answerBudget,
+        pieceBudget: dependencies.pieceBudget,
         awaitsConfirmation: true,
         maxHeadBytes: maxForwardHeadBytes,
         readHead,
--- a/packages/gateway/src/lib/forward-server.ts
+++ b/packages/gateway/src/lib/forward-server.ts
@@ -118,7 +118,7 @@
 
     const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const maxBytes = options.maxBodyBytes() + envelopeBytes;
-        const read = await readBody(req, { maxBytes, budget: options.answerBudget });
+        const read = await readBody(req, { maxBytes, budget: options.answerBudget, pieceBudget: options.pieceBudget });
         if (read.kind === "complete" && res.destroyed) {
             read.release();
         }
--- a/packages/gateway/src/lib/http-call.ts
+++ b/packages/gateway/src/lib/http-call.ts
@@ -3,8 +3,8 @@
  * the rest is a stream. Attempts at backend servers and requests to other entry hosts both use it.
  */
 import { AttemptOutcome } from "@cassiapick/core";
-import type { ByteBudget } from "@cassiapick/core";
-import { createByteCollector, splitAddress } from "@cassiapick/wire";
+import type { ByteBudget, PieceBudget } from "@cassiapick/core";
+import { createByteCollector, createPiecePacer, createReadGate, splitAddress } from "@cassiapick/wire";
 import { request as httpRequest } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { connect, Socket } from "node:net";
@@ -14,7 +14,6 @@
 import type { BodyRest } from "./body-rest.js";
 import { describeFraming, isCloseDelimited } from "./framing.js";
 import type { RawHeaders } from "./headers.js";
-import { createReadGate } from "./read-gate.js";
 import { createRepeatedAnswerFinder } from "./repeated-answer.js";
 
 /** Opens a connection to "host:port" from a local address. */
@@ -85,6 +84,8 @@
     maxBufferedBytes?: number;
     /** The bytes that the host may hold; a body that exceeds them is streamed, as fast as its caller reads. */
     budget?: ByteBudget;
+    /** The short pieces of bodies that the host takes. */
+    pieceBudget?: PieceBudget;
     readHead: (res: IncomingMessage) => ResponseHead;
     /** Headers that servers add to their answers, by which a second answer is recognized in a body without a length. */
     answerHeaders?: readonly string[];
@@ -184,6 +185,8 @@
 
     const readBody = (res: IncomingMessage, { status, headers }: Extract<ResponseHead, { kind: "answer"; }>): void => {
         const collector = createByteCollector();
+        const gate = createReadGate(socket);
+        const pacer = createPiecePacer(gate, options.pieceBudget);
         let rest: BodyRest | undefined;
         const finder = isCloseDelimited(res.rawHeaders)
             ? createRepeatedAnswerFinder({ status, headers }, options.answerHeaders ?? [])
@@ -202,13 +205,14 @@
             res.on("data", (chunk: Buffer) => finder.push(chunk));
         }
         const startStreaming = (): void => {
-            rest = createBodyRest(createReadGate(socket), () => client.destroy());
+            rest = createBodyRest(gate, () => client.destroy());
             // Its reader sees that the body is incomplete; the log has the end of the call.
             rest.stream.on("error", () => undefined);
             finishWithAnswer(rest.stream);
         };
         // The answer always flows: one that is paused keeps each piece as a buffer of its own.
         res.on("data", (piece: Buffer) => {
+            pacer.count(piece.length);
             if (rest !== undefined) {
                 rest.push(piece);
             }
@@ -247,6 +251,7 @@
         };
         res.on("error", breakOff);
         res.on("close", () => {
+            pacer.stop();
             if (!res.readableEnded) {
                 breakOff();
             }
--- a/packages/gateway/src/lib/read-body.ts
+++ b/packages/gateway/src/lib/read-body.ts
@@ -1,6 +1,6 @@
 /** Reads the body of a request, within the bytes that the host may hold. */
-import type { ByteBudget } from "@cassiapick/core";
-import { createByteCollector } from "@cassiapick/wire";
+import type { ByteBudget, PieceBudget } from "@cassiapick/core";
+import { createByteCollector, createPiecePacer, createReadGate } from "@cassiapick/wire";
 import type { IncomingMessage } from "node:http";
 import { headerValue } from "./headers.js";
 
@@ -18,6 +18,8 @@
     maxBytes: number;
     /** The bytes that the host may hold, of requests and answers. */
     budget?: ByteBudget;
+    /** The short pieces of bodies that the host takes. */
+    pieceBudget?: PieceBudget;
 }
 
 /** Bodies up to this length are read in any case, in bytes; they are fewer than the host has connections. */
@@ -30,10 +32,11 @@
 };
 
 /** Resolves once the body is complete, longer than `maxBytes`, without room, or cut; never rejects. */
-export const readBody = (req: IncomingMessage, { maxBytes, budget }: ReadBodyOptions): Promise<BodyResult> =>
+export const readBody = (req: IncomingMessage, { maxBytes, budget, pieceBudget }: ReadBodyOptions): Promise<BodyResult> =>
     new Promise(resolve => {
         const length = contentLengthOf(req);
         const collector = createByteCollector();
+        const pacer = createPiecePacer(createReadGate(req.socket), pieceBudget);
         let bytes = 0;
         let heldBytes = 0;
         let isEnded = false;
@@ -76,6 +79,7 @@
         // The whole length is held from the start, so that chunks and the body don't exist side by side.
         const whole = length === undefined ? undefined : Buffer.allocUnsafe(length);
         req.on("data", (chunk: Buffer) => {
+            pacer.count(chunk.length);
             if (isEnded) {
                 return;
             }
@@ -97,7 +101,13 @@
             }
             bytes += chunk.length;
         });
-        req.on("end", () => end({ kind: "complete", body: whole ?? collector.take(), release }));
-        req.on("close", () => end({ kind: "cut" }));
+        req.on("end", () => {
+            pacer.stop();
+            end({ kind: "complete", body: whole ?? collector.take(), release });
+        });
+        req.on("close", () => {
+            pacer.stop();
+            end({ kind: "cut" });
+        });
         req.on("error", () => end({ kind: "cut" }));
     });
--- a/packages/gateway/src/lib/server-attempt.ts
+++ b/packages/gateway/src/lib/server-attempt.ts
@@ -4,6 +4,7 @@
     ByteBudget,
     LimitAnswer,
     PathMonitor,
+    PieceBudget,
     RequestQuarantine,
     RouteLatencyTracker,
     ServerChoice,
@@ -35,6 +36,8 @@
     log: EventLog;
     /** The bytes of answers that this host may hold. */
     answerBudget?: ByteBudget;
+    /** The short pieces of bodies that this host takes. */
+    pieceBudget?: PieceBudget;
     /** Called when an attempt is evidence of an unhealthy server. */
     onServerFailed: () => void;
     /** Called with what each ended attempt shows about the limit of its server. */
@@ -101,6 +104,7 @@
         timeoutMs: remainingMs + attemptTimeoutMarginMs,
         maxBufferedBytes: maxBufferedBytesOf(req),
         budget: dependencies.answerBudget,
+        pieceBudget: dependencies.pieceBudget,
         onConnected: () => {
             clearTimeout(slowConnectTimer);
             path.connected(server);
--- a/packages/operations/src/lib/entry-client.ts
+++ b/packages/operations/src/lib/entry-client.ts
@@ -44,7 +44,7 @@
 
 /** Reads a body as text; throws when it is longer than {@link maxAnswerBytes}. */
 const readBody = async (body: Readable): Promise<string> => {
-    const bytes = await collectBytes(body, maxAnswerBytes);
+    const bytes = await collectBytes(body, { maxBytes: maxAnswerBytes });
     if (bytes === undefined) {
         body.destroy();
         throw new Error(`The answer is longer than ${maxAnswerBytes} bytes`);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,5 +5,7 @@
 export * from "./lib/frame-codec.js";
 export * from "./lib/frame-history.js";
 export * from "./lib/link.js";
+export * from "./lib/piece-pacer.js";
+export * from "./lib/read-gate.js";
 export * from "./lib/rpc-client.js";
 export * from "./lib/rpc-server.js";
--- a/packages/wire/src/test/byte-collector_test.ts
+++ b/packages/wire/src/test/byte-collector_test.ts
@@ -85,7 +85,7 @@
     for (const { name, sizes, maxBytes, isTooLong = false } of cases) {
         it(`is read up to its limit: ${name}`, async () => {
             const source = new PassThrough();
-            const body = collectBytes(source, maxBytes);
+            const body = collectBytes(source, { maxBytes });
             sizes.forEach((size, index) => source.write(pieceOf(size, index)));
             source.end();
             expect((await body)?.length).to.equal(isTooLong ? undefined : sizes.length);
@@ -94,7 +94,7 @@
 
     it("is not taken for a whole one if it ends early", async () => {
         const source = new PassThrough();
-        const body = collectBytes(source, 100);
+        const body = collectBytes(source, { maxBytes: 100 });
         source.write("abc");
         source.destroy();
         expect(await body.catch((err: unknown) => (err as Error).message)).to.equal("The body ended early.");
