Refuse calls to the API whose body is not UTF-8

Cause: bodies were decoded leniently, so what couldn't be read was replaced, and the document that was kept was not the one that was sent.

Change: the API checks a body before it decodes it and answers 400, for all calls; the event apiCallUnreadable names the call. The checks of documents and of tables files read files in the same way. The admin server of cassiapick-entry needs no change: its names are ASCII.

--- a/packages/ctl/src/lib/tables-commands.ts
+++ b/packages/ctl/src/lib/tables-commands.ts
@@ -1,7 +1,7 @@
 /** The commands `tables check`, `tables show`, `tables diff` and `tables history`. */
 import { formatVersion, StateReplyKind, StateRequestKind } from "@cassiapick/core";
 import type { Tables, VersionedTables } from "@cassiapick/core";
-import { formatTables, parseTables } from "@cassiapick/operations";
+import { decodeUtf8, formatTables, parseTables } from "@cassiapick/operations";
 import { renderTable } from "@cassiapick/operations";
 import { readFileSync } from "node:fs";
 import { failWith, succeed } from "./command-result.js";
@@ -21,13 +21,21 @@
 /** The tables in two files, or the result of the command if they can't be read or are invalid. */
 export type ReadTablesResult = { ok: true; tables: Tables; } | { ok: false; result: CommandResult; };
 
+const readText = (path: string): string => {
+    const text = decodeUtf8(readFileSync(path));
+    if (text === undefined) {
+        throw new Error(`'${path}' is not valid UTF-8`);
+    }
+    return text;
+};
+
 /** Reads and validates the two files; if the tables are invalid, the result lists the position of each error. */
 export const readTables = (paths: TablesPaths): ReadTablesResult => {
     let routesText: string;
     let poolsText: string;
     try {
-        routesText = readFileSync(paths.routes, "utf8");
-        poolsText = readFileSync(paths.pools, "utf8");
+        routesText = readText(paths.routes);
+        poolsText = readText(paths.pools);
     }
     catch (err) {
         const message = `A tables file can't be read: ${
--- a/packages/ctl/src/test/cli_test.ts
+++ b/packages/ctl/src/test/cli_test.ts
@@ -20,7 +20,7 @@
     let store: FakeStore;
     let fakes: FakeHost[];
 
-    const write = (name: string, text: string): string => {
+    const write = (name: string, text: string | Buffer): string => {
         const path = join(folder, name);
         writeFileSync(path, text);
         return path;
@@ -33,6 +33,7 @@
         write("token", `${token}\n`);
         write("routes.yaml", routesText);
         write("pools.yaml", poolsText);
+        write("latin1.yaml", Buffer.from(routesText.replace("oka", "\u00f3ka"), "latin1"));
         write("no-routes.yaml", "format: 1\nroutes: []\n");
     });
 
@@ -58,6 +59,7 @@
         { line: "tables check routes.yaml pools.yaml", code: ExitCode.Ok, expectedText: "1 routes of 1 brands, 1 pools" },
         { line: "tables check pools.yaml routes.yaml", code: ExitCode.Usage, expectedText: "may be swapped" },
         { line: "tables check none.yaml pools.yaml", code: ExitCode.Usage, expectedText: "can't be read" },
+        { line: "tables check latin1.yaml pools.yaml", code: ExitCode.Usage, expectedText: "is not valid UTF-8" },
         { line: "tables chek routes.yaml pools.yaml", code: ExitCode.Usage, expectedText: "Did you mean 'check'?" },
         { line: "tables", code: ExitCode.Usage, expectedText: "Name one of: check" },
         { line: "hosts", code: ExitCode.Usage, expectedText: "--state-hosts" },
--- a/packages/operations/src/index.ts
+++ b/packages/operations/src/index.ts
@@ -18,4 +18,5 @@
 export * from "./lib/tables-file.js";
 export * from "./lib/text-table.js";
 export * from "./lib/token-file.js";
+export * from "./lib/utf8-text.js";
 export * from "./lib/yaml-text.js";
--- a/packages/operations/src/lib/events.ts
+++ b/packages/operations/src/lib/events.ts
@@ -83,6 +83,11 @@
         "CP2009",
         "A published configuration was committed, or one with the same or a higher number was already stored.",
     ),
+    apiCallUnreadable: warn(
+        "CP2023",
+        "The body of a call to the API is not valid UTF-8; the call was refused.",
+        "Find the caller by the path; send JSON in UTF-8.",
+    ),
     configurationRefused: warn("CP2010", "A published configuration was refused.", "Correct what the message names."),
     configurationQuestionable: warn(
         "CP2021",
