Take answers in other versions than HTTP/1.x for broken exchanges

A caller would get bytes of another protocol as its answer.

Cause: the HTTP library parses these versions, and nothing looked at them. Change: the exchange of entry hosts takes an answer in HTTP/1.0 or HTTP/1.1 only. The exchange of cassiapick-entry doesn't learn the version from its HTTP library; it is not mended.

exchange_test failed before in 4 of 5 new cases.

--- a/packages/gateway/src/lib/exchange.ts
+++ b/packages/gateway/src/lib/exchange.ts
@@ -55,6 +55,8 @@
     onConnected?: () => void;
 }
 
+/** The versions in which a server may answer a request in HTTP/1.1 (RFC 9110, section 2.5). */
+const answerVersions: ReadonlySet<string> = new Set(["1.0", "1.1"]);
 const misdirectedStatus = 421;
 /**
  * Statuses that a caller may take as proof that its request has not run. Without the server's `notRun` header there is
@@ -128,6 +130,13 @@
 
     const readHead = (res: IncomingMessage): ResponseHead => {
         const status = res.statusCode;
+        if (!answerVersions.has(res.httpVersion)) {
+            return {
+                kind: "rejected",
+                outcome: AttemptOutcome.Broken,
+                detail: `no answer to HTTP/1.1 is in HTTP/${res.httpVersion}`,
+            };
+        }
         if (!isFinalStatus(status)) {
             // Not an answer, so that its headers prove nothing either.
             return { kind: "rejected", outcome: AttemptOutcome.Broken, detail: `no answer has the status ${status}` };
--- a/packages/gateway/src/test/exchange_test.ts
+++ b/packages/gateway/src/test/exchange_test.ts
@@ -6,6 +6,9 @@
 import type { Behaviour } from "./exchange-server.js";
 import { testHeaderNames as headerNames } from "./test-gateway.js";
 
+/** The head of a success in another version of HTTP. */
+const inVersion = (version: string, ...headers: string[]): string => ok(...headers).replace("HTTP/1.1", `HTTP/${version}`);
+
 const cases: { name: string; behave: Behaviour; outcome: AttemptOutcome; body?: string; }[] = [
     {
         name: "a whole answer with a length",
@@ -19,6 +22,20 @@
         outcome: AttemptOutcome.Answered,
         body: "hello",
     },
+    {
+        name: "an answer in HTTP/1.0",
+        behave: socket => socket.end(`${inVersion("1.0")}hello`),
+        outcome: AttemptOutcome.Answered,
+        body: "hello",
+    },
+    // Guards against bytes of another protocol that reach a caller as its answer.
+    ...["0.9", "2.0"].flatMap(version =>
+        ["Content-Length: 5", "Connection: close"].map(header => ({
+            name: `an answer in HTTP/${version} with '${header}'`,
+            behave: (socket: Socket) => socket.end(`${inVersion(version, header)}hello`),
+            outcome: AttemptOutcome.Broken,
+        }))
+    ),
     {
         name: "an answer that is delimited by the close of its connection",
         behave: socket => socket.end(`${ok()}hello`),
