Pass long answers of cassiapick-entry on in few parts

The rest of an answer that is too long to be buffered was written to the caller piece by piece, as the server's chunks came; a caller that reads nothing left up to 2,700 writes of one byte waiting, some 1.6 MB by their objects, before its server was stopped.

Change: what one read of the connection brings is passed on as one part, and the rest of it before the exchange ends.

streamed-pieces_test failed before in 2 of 3 cases (99,000 parts for 100,000 bytes, of 1,000 at most).

--- a/packages/entry/src/lib/exchange.ts
+++ b/packages/entry/src/lib/exchange.ts
@@ -96,6 +96,7 @@
     let bufferedBytes = 0;
     let isHandedToSocket = false;
     let streamed = false;
+    let isPassOnDue = false;
     let head: AnswerHead | undefined;
     let abortedAs: ExchangeEnd | undefined;
     let controller: Dispatcher.DispatchController | undefined;
@@ -104,6 +105,14 @@
     const gate = createGate(() => controller?.pause(), () => controller?.resume());
     const pacer = createPiecePacer(gate, options.pieceBudget);
 
+    /** Passes on what one read of the connection has brought, as one part: a caller that reads nothing leaves few of them in a queue. */
+    const passOn = (): void => {
+        isPassOnDue = false;
+        if (streamed && body.length() > 0 && !options.sink.write(body.take(), () => gate.open(GateReason.Unread))) {
+            gate.close(GateReason.Unread);
+        }
+    };
+
     const finish = (end: ExchangeEnd): void => {
         if (isFinished) {
             return;
@@ -111,6 +120,7 @@
         isFinished = true;
         clearTimeout(timer);
         pacer.stop();
+        passOn();
         resolveResult({ end, head, body: body.take(), streamed });
     };
 
@@ -130,7 +140,7 @@
     const startStreaming = (answerHead: AnswerHead): void => {
         streamed = true;
         options.sink.begin(answerHead);
-        options.sink.write(body.take(), () => undefined);
+        passOn();
     };
 
     /** Bounds what is held of an answer: it may have no end, also if it is a failure. */
@@ -167,15 +177,13 @@
                 return;
             }
             bufferedBytes += chunk.length;
-            if (!streamed) {
-                body.push(chunk);
-                if (bufferedBytes > options.bufferBytes) {
-                    endBuffering(head);
-                }
-                return;
+            body.push(chunk);
+            if (!streamed && bufferedBytes > options.bufferBytes) {
+                endBuffering(head);
             }
-            if (!options.sink.write(chunk, () => gate.open(GateReason.Unread))) {
-                gate.close(GateReason.Unread);
+            else if (streamed && !isPassOnDue) {
+                isPassOnDue = true;
+                process.nextTick(passOn);
             }
         },
         onResponseEnd: () => finish(ExchangeEnd.Complete),
