Let a test of answers wait for its request, not for 20 ms

Cause: the test gave the request 20 ms to reach its own server; beside load it had not arrived, so there was no response to look at.

Change: it waits until the response exists, and then 20 ms as before for what it checks.

--- a/packages/gateway/src/test/answer-writer_test.ts
+++ b/packages/gateway/src/test/answer-writer_test.ts
@@ -81,10 +81,19 @@
             socket.pause();
             lastResponse = undefined;
             socket.write(`GET /bytes/${bytes} HTTP/1.1\r\nHost: a.example\r\n\r\n`);
+            const response = await new Promise<ServerResponse>(resolve => {
+                const check = (): void => {
+                    if (lastResponse === undefined) {
+                        setTimeout(check, 5);
+                    }
+                    else {
+                        resolve(lastResponse);
+                    }
+                };
+                check();
+            });
             await new Promise(resolve => setTimeout(resolve, 20));
-            const response = lastResponse as ServerResponse | undefined;
-            expect(response).to.not.equal(undefined);
-            expect(response!.writableEnded && !response!.writableFinished, `ended early: ${bytes} bytes`).to.equal(false);
+            expect(response.writableEnded && !response.writableFinished, `ended early: ${bytes} bytes`).to.equal(false);
             socket.destroy();
         }
     });
