--- a/review/support-3/upstream.ts
+++ b/review/support-3/upstream.ts
@@ -19,7 +19,7 @@
 
 /** Interval of announcements, as in the settings, in milliseconds. */
 const heartbeatMs = 1500;
-const port = 8500;
+export const upstreamPort = 8500;
 const slots = 3;
 
 const headerOf = (req: IncomingMessage, name: string): string => {
@@ -27,35 +27,17 @@
     return typeof value === "string" ? value : "";
 };
 
-/** Starts upstream number `index` of a service; `onRun` answers each request that it runs. */
-export const startUpstream = async (
+/** Announces an upstream to the state hosts until the returned timer is cleared. */
+export const announceRegularly = (
     fleet: Fleet,
-    service: string,
-    index: number,
-    onRun: (run: Run) => void,
-): Promise<Upstream> => {
-    const id = `i-${service}-${index}`;
-    const address = `${fleet.network}.${100 + index}`;
+    { id, service, address }: { id: string; service: string; address: string; },
+): NodeJS.Timeout => {
     const born = Date.now();
     let sequence = 0;
-    const server = createServer((req, res) => {
-        if (req.url === "/healthz") {
-            res.writeHead(200, { "Instance-Id": id }).end();
-            return;
-        }
-        if (headerOf(req, "expected-instance") !== id) {
-            res.writeHead(421, { "Not-Executed": "1" }).end();
-            return;
-        }
-        req.resume();
-        onRun({ requestId: headerOf(req, "attempt-id"), upstream: id, res });
-    });
-    await new Promise<void>(resolve => server.listen(port, address, resolve));
-
     const announce = async (): Promise<void> => {
         sequence += 1;
         const body = JSON.stringify({
-            address: `${address}:${port}`,
+            address: `${address}:${upstreamPort}`,
             born,
             info: { backend: service, version: "v1", zone: "zone-a", slots },
             status: { state: "ready", sequence, warmupLeftS: 0 },
@@ -70,8 +52,33 @@
             await sleep(20);
         }
     };
-    const timer = setInterval(() => void announce(), heartbeatMs);
     void announce();
+    return setInterval(() => void announce(), heartbeatMs);
+};
+
+/** Starts upstream number `index` of a service; `onRun` answers each request that it runs. */
+export const startUpstream = async (
+    fleet: Fleet,
+    service: string,
+    index: number,
+    onRun: (run: Run) => void,
+): Promise<Upstream> => {
+    const id = `i-${service}-${index}`;
+    const address = `${fleet.network}.${100 + index}`;
+    const server = createServer((req, res) => {
+        if (req.url === "/healthz") {
+            res.writeHead(200, { "Instance-Id": id }).end();
+            return;
+        }
+        if (headerOf(req, "expected-instance") !== id) {
+            res.writeHead(421, { "Not-Executed": "1" }).end();
+            return;
+        }
+        req.resume();
+        onRun({ requestId: headerOf(req, "attempt-id"), upstream: id, res });
+    });
+    await new Promise<void>(resolve => server.listen(upstreamPort, address, resolve));
+    const timer = announceRegularly(fleet, { id, service, address });
     return {
         id,
         stop: () => {
