Keep a state host at work after a step of its driver throws

Cause: the fact that came of the announcement could not be encoded, so sending it threw. Of the driver's batch only the step of the node and the callback at its end were guarded. The exception reached the actor library, which ends the actor by default and writes plain text to standard output; events queued up from then on, ticks too, so open requests never expired. The decoder that let the announcement pass is a fault of its own.

Change: each action of a batch, its logs and its callback are guarded apart; whatever else throws makes the host recover from its stored state, as after a failed write. Requests expire in the driver too (no test reaches this, as the node expires them first).

Why this works: no step can reach the actor any more, and the consensus retries messages that are lost.

--- a/packages/control/src/lib/control-host.ts
+++ b/packages/control/src/lib/control-host.ts
@@ -22,7 +22,7 @@
     voterAbsenceTimeoutMs,
 } from "@cassiapick/core";
 import type { EntryHello, FleetHost, HostAnnouncement, LinkMessage, PeerMessage } from "@cassiapick/core";
-import { createLatenessMeter } from "@cassiapick/operations";
+import { createFaultGuard, createLatenessMeter } from "@cassiapick/operations";
 import { createStateDriver, isPeerMessage } from "@cassiapick/state";
 import { createLinkServer, splitAddress } from "@cassiapick/wire";
 import type { Link } from "@cassiapick/wire";
@@ -252,22 +252,19 @@
         },
     });
 
+    const guard = createFaultGuard(log);
+    const every = (intervalMs: number, steps: readonly (() => void)[]): NodeJS.Timeout =>
+        setInterval(() => steps.forEach(guard), intervalMs);
     const timers = [
-        setInterval(() => {
-            lateness.tick();
-            relayReports();
-        }, relayIntervalMs),
-        setInterval(() => {
-            // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
-            sendUpdates(true);
-            entryLinks.sendViewAge(sendableViewAgeMs());
-        }, viewAgeIntervalMs),
-        setInterval(() => {
-            sendUpdates();
-            peerLinks.keepOpen(otherVoters());
-            linkWatch.closeSilentLinks(link => !peerIds.has(link), entryHostTimeoutMs, clock());
-            void recordMissingFacts();
-        }, maintenanceIntervalMs),
+        every(relayIntervalMs, [() => lateness.tick(), relayReports]),
+        // The age covers all that is applied, so that is sent first, also while a write of the consensus is pending.
+        every(viewAgeIntervalMs, [() => sendUpdates(true), () => entryLinks.sendViewAge(sendableViewAgeMs())]),
+        every(maintenanceIntervalMs, [
+            () => sendUpdates(),
+            () => peerLinks.keepOpen(otherVoters()),
+            () => linkWatch.closeSilentLinks(link => !peerIds.has(link), entryHostTimeoutMs, clock()),
+            () => void recordMissingFacts(),
+        ]),
     ];
 
     return {
--- a/packages/control/src/lib/fact-batcher.ts
+++ b/packages/control/src/lib/fact-batcher.ts
@@ -13,12 +13,12 @@
     let batchReply: Promise<StateReply> | undefined;
     return facts => {
         pendingFacts.push(...facts);
-        batchReply ??= new Promise(resolve => {
+        batchReply ??= new Promise((resolve, reject) => {
             setTimeout(() => {
                 const batch = pendingFacts;
                 pendingFacts = [];
                 batchReply = undefined;
-                void submit(batch).then(resolve);
+                submit(batch).then(resolve, reject);
             }, batchDelayMs);
         });
         return batchReply;
--- a/packages/entry/src/lib/node-actor.ts
+++ b/packages/entry/src/lib/node-actor.ts
@@ -9,10 +9,7 @@
     now: () => number;
     /** Runs one action that the node returned for an event; called in the order in which the node returned them. */
     runAction: (action: EntryAction) => void;
-    /**
-     * Called when the node throws on an event or `runAction` throws; the remaining actions of that event are not run, and the
-     * actor continues with the next event.
-     */
+    /** Called when the node throws on an event or `runAction` throws; the actor continues with the next action or event. */
     onInternalError: (err: Error, event: EntryEvent) => void;
 }
 
@@ -27,14 +24,21 @@
 export const createNodeActor = (options: NodeActorOptions): NodeActor => {
     const system = start();
 
-    const handleEvent = (event: EntryEvent): void => {
+    const attempt = <T>(event: EntryEvent, step: () => T): T | undefined => {
         try {
-            for (const action of options.node.step(event, options.now())) {
-                options.runAction(action);
-            }
+            return step();
         }
         catch (err) {
             options.onInternalError(err as Error, event);
+            return undefined;
+        }
+    };
+
+    const handleEvent = (event: EntryEvent): void => {
+        const actions = attempt(event, () => options.node.step(event, options.now())) ?? [];
+        for (const action of actions) {
+            // Later actions may answer other requests, so they run also after one that fails.
+            attempt(event, () => options.runAction(action));
         }
     };
 
--- a/packages/operations/src/index.ts
+++ b/packages/operations/src/index.ts
@@ -3,6 +3,7 @@
 export { burnSchema } from "./lib/entry-status-schema.js";
 export * from "./lib/event-log.js";
 export * from "./lib/events.js";
+export * from "./lib/fault-guard.js";
 export * from "./lib/hop-by-hop.js";
 export * from "./lib/http-connections.js";
 export * from "./lib/key-digest.js";
--- a/packages/state/src/lib/state-driver.ts
+++ b/packages/state/src/lib/state-driver.ts
@@ -1,5 +1,5 @@
 /** Runs the consensus node of one state host: processes events, makes its writes durable, then sends messages and replies. */
-import { createStateNode, NodeActionKind, NodeEventKind, StateReplyKind, StateRole } from "@cassiapick/core";
+import { createStateNode, defaultStateTiming, NodeActionKind, NodeEventKind, StateReplyKind, StateRole } from "@cassiapick/core";
 import type {
     CreateStateNodeCfg,
     FleetMachine,
@@ -12,6 +12,7 @@
     StateStatus,
     WriteAction,
 } from "@cassiapick/core";
+import { createFaultGuard } from "@cassiapick/operations";
 import type { EventLog } from "@cassiapick/operations";
 import { dispatch, spawn, start, stop } from "nact";
 import type { DataFolder } from "./data-folder.js";
@@ -55,7 +56,7 @@
 /** The running consensus node of one state host. */
 export interface StateDriver {
     receive(from: string, message: PeerMessage): void;
-    /** Resolves with the reply; never rejects. */
+    /** Resolves with the reply, or with `Unavailable` if the node gives none in time; never rejects. */
     handleRequest(request: StateRequest): Promise<StateReply>;
     status(): StateStatus;
     /** The applied view of the fleet; `undefined` while it may be older than the one before the restart. */
@@ -81,6 +82,13 @@
 });
 const fullDisk = "The disk of this state host takes no writes";
 const stopping = "This state host is stopping";
+const noReply = "This state host got no reply in time";
+
+interface PendingReply {
+    resolve: (reply: StateReply) => void;
+    /** When the request is answered without the node, in milliseconds. */
+    deadline: number;
+}
 
 /** Creates the node from the stored state and runs it until `stop` is called. */
 export const createStateDriver = (options: StateDriverOptions): StateDriver => {
@@ -94,7 +102,10 @@
         return created;
     };
     let node = createNode();
-    const pendingReplies = new Map<number, (reply: StateReply) => void>();
+    const guard = createFaultGuard(log);
+    const pendingReplies = new Map<number, PendingReply>();
+    /** The node answers each request within the first time; its reply may wait for a write that is not stalled yet. */
+    const replyTimeoutMs = (options.nodeCfg.timing ?? defaultStateTiming).requestTimeoutMs + writeStallTimeoutMs;
     let nextRequestId = 1;
     let eventQueue: NodeEvent[] = [];
     let isStopped = false;
@@ -108,7 +119,7 @@
             options.send(action.to, action.message);
         }
         if (action.kind === NodeActionKind.Reply) {
-            pendingReplies.get(action.requestId)?.(action.reply);
+            pendingReplies.get(action.requestId)?.resolve(action.reply);
             pendingReplies.delete(action.requestId);
         }
     };
@@ -137,12 +148,22 @@
     const isStalled = (): boolean => writeStartedAt !== undefined && clock() - writeStartedAt > writeStallTimeoutMs;
 
     const failPendingRequests = (cause: string): void => {
-        for (const reply of pendingReplies.values()) {
-            reply(unavailableReply(cause));
+        for (const { resolve } of pendingReplies.values()) {
+            resolve(unavailableReply(cause));
         }
         pendingReplies.clear();
     };
 
+    const expireRequests = (): void => {
+        const now = clock();
+        for (const [requestId, { resolve, deadline }] of pendingReplies) {
+            if (now >= deadline) {
+                pendingReplies.delete(requestId);
+                resolve(unavailableReply(noReply));
+            }
+        }
+    };
+
     const reopenUntilHealthy = async (reopenFolder: () => Promise<DataFolder>): Promise<void> => {
         while (!isStopped) {
             await new Promise(resolve => setTimeout(resolve, reopenIntervalMs));
@@ -189,17 +210,6 @@
         }
     };
 
-    const notifyStepped = (): void => {
-        try {
-            options.onStepped?.();
-        }
-        catch (err) {
-            // The callback runs again after the next step, so the node continues.
-            const { message, stack } = err as Error;
-            log.log("internalFault", { message, stack });
-        }
-    };
-
     /**
      * Processes all queued events as one batch, so that one sync covers all of their writes. All writes are made durable, in
      * order, before any message or reply of the batch is sent. This is safe, because no message goes out before the write that
@@ -223,18 +233,33 @@
         if (isStopped || isSuspended) {
             return;
         }
-        logRoleChange();
-        logVotersChange();
+        guard(logRoleChange);
+        guard(logVotersChange);
         for (const action of actions) {
-            runAction(action);
+            // A message that can't be sent is lost like one on the network; the consensus retries it.
+            guard(() => runAction(action));
+        }
+        guard(() => options.onStepped?.());
+    };
+
+    /** Processes the queue. An exception must not reach the actor, which would handle no further event. */
+    const processSafely = async (): Promise<void> => {
+        try {
+            await processQueue();
+        }
+        catch (err) {
+            const { message, stack } = err as Error;
+            log.log("internalFault", { message, stack });
+            if (!isSuspended) {
+                handleFailure(err as Error);
+            }
         }
-        notifyStepped();
     };
 
     const system = start();
     const actor = spawn(system, async (_state: undefined, _message: "wake") => {
         if (eventQueue.length > 0 && !isStopped && !isSuspended) {
-            await processQueue();
+            await processSafely();
         }
         return undefined;
     }, "state-node");
@@ -255,12 +280,13 @@
         return new Promise(resolve => {
             const requestId = nextRequestId;
             nextRequestId += 1;
-            pendingReplies.set(requestId, resolve);
+            pendingReplies.set(requestId, { resolve, deadline: clock() + replyTimeoutMs });
             enqueue({ kind: NodeEventKind.Request, requestId, request });
         });
     };
 
     const handleTick = (): void => {
+        expireRequests();
         if (isStalled()) {
             failPendingRequests(fullDisk);
             return;
--- a/packages/wire/src/test/link_test.ts
+++ b/packages/wire/src/test/link_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createLinkServer, openLink } from "../index.js";
+import { createLinkServer, encodeFrame, openLink } from "../index.js";
 import type { Link, LinkServer } from "../index.js";
 
 const host = "127.0.0.1";
@@ -66,6 +66,46 @@
         });
     }
 
+    // Guards against messages that are lost because the handler of an earlier one in the same chunk throws.
+    it("handles the messages after one whose handler throws, and throws on", async () => {
+        const received: unknown[] = [];
+        let isDone: () => void;
+        const done = new Promise<void>(resolve => {
+            isDone = resolve;
+        });
+        server = await createLinkServer({ host, port: 0, receiveTimeoutMs: 0 }, {
+            onMessage: (_link, message) => {
+                received.push(message);
+                if (message === 1) {
+                    throw new Error("the handler failed");
+                }
+            },
+            onClose: () => isDone(),
+        });
+        const faults: string[] = [];
+        const otherListeners = process.listeners("uncaughtException");
+        process.removeAllListeners("uncaughtException");
+        process.on("uncaughtException", err => faults.push(err.message));
+        try {
+            const link = openLink({ host, port: server.port, connectTimeoutMs, receiveTimeoutMs: 0 }, {
+                onOpen: opened => opened.sendFrame(Buffer.concat([1, 2, 3].map(value => encodeFrame(value)))),
+                onMessage: () => undefined,
+                onClose: () => undefined,
+            });
+            while (received.length < 3 && faults.length === 0) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            link.close();
+            await done;
+        }
+        finally {
+            process.removeAllListeners("uncaughtException");
+            otherListeners.forEach(listener => process.on("uncaughtException", listener));
+        }
+        expect(received).to.deep.equal([1, 2, 3]);
+        expect(faults).to.deep.equal(["the handler failed"]);
+    });
+
     it("closes a connection on which nothing is received", async () => {
         server = await createLinkServer({ host, port: 0, receiveTimeoutMs: 0 }, {
             onMessage: () => undefined,
