Look values up by own keys only

Operators saw: an announcement of another writer in the state "constructor" passed for one in a known state.

Change: "ownValue" and "setOwnValue" access records whose keys come from outside, and a lint rule that knows types reports each other access under a key that is any text (52 in the product's code). Mended by it as well: look-ups of entry hosts from such a zone ignored the caller's region; a stored answer of cassiapick-entry with a header "constructor" was not sent again, and one with "__proto__" lost it; zones and roles of such names.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,31 @@
+import typescript from "typescript";
 import tseslint from "typescript-eslint";
 
+/** Reports keys that are any text in records: those of inherited members, such as "constructor", are found there too. */
+const ownKeys = {
+    meta: {
+        type: "problem",
+        messages: { inherited: "The key may name an inherited member. Use 'ownValue', 'setOwnValue' or a Map." },
+        schema: [],
+    },
+    create: context => {
+        const services = context.sourceCode.parserServices;
+        const checker = services.program.getTypeChecker();
+        const isText = node => (services.getTypeAtLocation(node).flags & typescript.TypeFlags.String) !== 0;
+        const isRecord = node => {
+            const type = checker.getNonNullableType(services.getTypeAtLocation(node));
+            return checker.getIndexInfoOfType(type, typescript.IndexKind.String) !== undefined;
+        };
+        return {
+            MemberExpression: node => {
+                if (node.computed && isText(node.property) && isRecord(node.object)) {
+                    context.report({ node, messageId: "inherited" });
+                }
+            },
+        };
+    },
+};
+
 const nodeImports = {
     group: ["node:*", "@cassiapick/*"],
     message: "The core is pure: pass sockets, clocks and random sources in.",
@@ -27,6 +53,17 @@
             }],
         },
     },
+    {
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
+        ignores: [
+            "**/src/test/**",
+            "packages/{baseline,demo,measure,proofs,standins}/**",
+            "packages/core/src/lib/own-value.ts",
+            "platform/src/soak/**",
+        ],
+        plugins: { cassiapick: { rules: { "own-keys": ownKeys } } },
+        rules: { "cassiapick/own-keys": "error" },
+    },
     {
         files: ["**/src/test/**/*.ts"],
         rules: { "@typescript-eslint/no-unused-expressions": "off" },
--- a/packages/control/src/lib/fleet-queries.ts
+++ b/packages/control/src/lib/fleet-queries.ts
@@ -1,5 +1,5 @@
 /** What a state host derives from the replicated fleet view for its entry hosts. */
-import { computeEntryPeers, HostPhase, HostRole, nearestStateHost } from "@cassiapick/core";
+import { computeEntryPeers, HostPhase, HostRole, nearestStateHost, ownValue } from "@cassiapick/core";
 import type { EntryPeers, FleetMachine, StateHostContact } from "@cassiapick/core";
 
 /** Addresses and locations of the voters, to which entry hosts connect. */
@@ -26,7 +26,12 @@
     availabilityZone: string,
 ): StateHostContact => {
     const ownContact = { address: own.hostId, availabilityZone: own.availabilityZone, region: own.region };
-    return nearestStateHost(stateContacts(fleet, voters), ownContact, availabilityZone, own.regions[availabilityZone] ?? "");
+    return nearestStateHost(
+        stateContacts(fleet, voters),
+        ownContact,
+        availabilityZone,
+        ownValue(own.regions, availabilityZone) ?? "",
+    );
 };
 
 /** Number of entry hosts that have not departed. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./lib/membership/membership-message.js";
 export * from "./lib/membership/membership.js";
 export * from "./lib/outcome.js";
+export * from "./lib/own-value.js";
 export * from "./lib/ownership.js";
 export * from "./lib/quarantine/index.js";
 export * from "./lib/random.js";
--- a/packages/core/src/lib/claims/catch-up-responder.ts
+++ b/packages/core/src/lib/claims/catch-up-responder.ts
@@ -1,4 +1,5 @@
 /** Serves the catch-up requests of restarted hosts, one page at a time. */
+import { ownValue, setOwnValue } from "../own-value.js";
 import type { CatchUp } from "./catch-up.js";
 import { ClaimMessageKind } from "./claim-message.js";
 import type { AddressedMessage, CatchUpPage, CatchUpRequest, SharedRecord } from "./claim-message.js";
@@ -98,12 +99,12 @@
 
     const respond = (request: CatchUpRequest, fromHostId: string, now: number): AddressedMessage[] => {
         const { incarnation: forIncarnation } = request;
-        const highest = catchUp.knownIncarnations[fromHostId] ?? 0;
+        const highest = ownValue(catchUp.knownIncarnations, fromHostId) ?? 0;
         if (highest > forIncarnation) {
             return [{ hostId: fromHostId, message: { kind: ClaimMessageKind.IncarnationUsed, highest } }];
         }
         // From here on each vote of this host reports the new incarnation, which invalidates older votes of the requesting host.
-        catchUp.knownIncarnations[fromHostId] = forIncarnation;
+        setOwnValue(catchUp.knownIncarnations, fromHostId, forIncarnation);
         return request.session === undefined
             ? sendPage(openSession(request, fromHostId, now), request, fromHostId, now)
             : continueSession(request.session, request, fromHostId, now);
--- a/packages/core/src/lib/claims/catch-up.ts
+++ b/packages/core/src/lib/claims/catch-up.ts
@@ -1,4 +1,5 @@
 /** Rebuilds the votes of a restarted replica from its peers, and decides for which keys it may vote again. */
+import { ownValue, setOwnValue } from "../own-value.js";
 import type { ClaimLimits } from "./claim-contract.js";
 import { ClaimMessageKind } from "./claim-message.js";
 import type { AddressedMessage, CatchUpPage, Incarnations } from "./claim-message.js";
@@ -162,7 +163,7 @@
 
     const recordIncarnations = (fromHostId: string, page: CatchUpPage): void => {
         for (const [hostId, knownIncarnation] of [...Object.entries(page.known), [fromHostId, page.incarnation] as const]) {
-            knownIncarnations[hostId] = Math.max(knownIncarnations[hostId] ?? 0, knownIncarnation);
+            setOwnValue(knownIncarnations, hostId, Math.max(ownValue(knownIncarnations, hostId) ?? 0, knownIncarnation));
         }
     };
 
--- a/packages/core/src/lib/claims/claim-tally.ts
+++ b/packages/core/src/lib/claims/claim-tally.ts
@@ -1,4 +1,5 @@
 /** Tallies the replies to one claim. */
+import { ownValue } from "../own-value.js";
 import { VerdictKind } from "./claim-message.js";
 import type { ClaimAnswer, ClaimReply, FinishedClaim } from "./claim-message.js";
 import { majorityOf } from "./roster.js";
@@ -36,7 +37,7 @@
         replies.set(hostId, reply);
     }
     for (const [otherId, other] of replies) {
-        const latest = Math.max(...[...replies.values()].map(({ known }) => known[otherId] ?? 0));
+        const latest = Math.max(...[...replies.values()].map(({ known }) => ownValue(known, otherId) ?? 0));
         if (other.incarnation < latest) {
             replies.delete(otherId);
         }
--- a/packages/core/src/lib/claims/replica.ts
+++ b/packages/core/src/lib/claims/replica.ts
@@ -44,11 +44,7 @@
     };
 
     const incarnationsOf = (hostIds: string[]): Incarnations =>
-        Object.fromEntries(
-            hostIds.filter(hostId => hostId in catchUp.knownIncarnations).map(
-                hostId => [hostId, catchUp.knownIncarnations[hostId]!],
-            ),
-        );
+        Object.fromEntries(Object.entries(catchUp.knownIncarnations).filter(([hostId]) => hostIds.includes(hostId)));
 
     const claim = (request: ClaimRequest, fromHostId: string, now: number): AddressedMessage[] => {
         const replicas = catchUp.placement()?.replicasOf(request.claimId) ?? [];
--- a/packages/core/src/lib/config-check/config-changes.ts
+++ b/packages/core/src/lib/config-check/config-changes.ts
@@ -1,5 +1,6 @@
 /** Lists what a configuration changes in the one in force. */
 import type { GatewayConfig } from "../gateway/gateway-config.js";
+import { ownValue } from "../own-value.js";
 
 /** How an entry differs. */
 export enum ChangeKind {
@@ -46,10 +47,10 @@
 
 const changedFields = (before: Entry, after: Entry): FieldChange[] => {
     const names = [...new Set([...Object.keys(before), ...Object.keys(after)])];
-    return names.filter(name => textOf(before[name]) !== textOf(after[name])).map(name =>
+    return names.filter(name => textOf(ownValue(before, name)) !== textOf(ownValue(after, name))).map(name =>
         name === "keyDigests"
-            ? describeKeys(before[name] as string[], after[name] as string[])
-            : { name, before: textOf(before[name]), after: textOf(after[name]) }
+            ? describeKeys(before.keyDigests as string[], after.keyDigests as string[])
+            : { name, before: textOf(ownValue(before, name)), after: textOf(ownValue(after, name)) }
     );
 };
 
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -1,4 +1,5 @@
 /** State shared by the components of one state host, and settings of the consensus protocol. */
+import { ownValue } from "../own-value.js";
 import type { Random } from "../random.js";
 import { StateRole } from "../state-messages.js";
 import type { StateReply } from "../state-messages.js";
@@ -96,7 +97,7 @@
 
 /** Whether the log of this host lists its disk as a voter. */
 export const isVoter = (ctx: NodeContext): boolean =>
-    !ctx.hardState.founding && ctx.log.voters()[ctx.hostId] === ctx.hardState.incarnation;
+    !ctx.hardState.founding && ownValue(ctx.log.voters(), ctx.hostId) === ctx.hardState.incarnation;
 
 /** Returns the role of a host that is neither leader nor candidate. */
 export const passiveRole = (ctx: NodeContext): StateRole => isVoter(ctx) ? StateRole.Follower : StateRole.Recovering;
--- a/packages/core/src/lib/consensus/replication.ts
+++ b/packages/core/src/lib/consensus/replication.ts
@@ -1,4 +1,5 @@
 /** Leader side of log replication: sends entries, advances the commit index and steps down without a majority. */
+import { ownValue } from "../own-value.js";
 import { EntryKind } from "./log-entry.js";
 import type { EntryBody, LogEntry, Snapshot } from "./log-entry.js";
 import { otherVoters, quorumSize } from "./node-context.js";
@@ -218,13 +219,11 @@
     /** Tracks the voters and the hosts that request to become voters; entries are sent to both. */
     const refreshProgress = (): void => {
         const voters = ctx.log.voters();
-        for (const hostId of [...otherVoters(ctx), ...joins.keys()]) {
-            if (!progress.has(hostId)) {
-                progress.set(hostId, createProgress(voters[hostId]));
-            }
+        for (const hostId of [...otherVoters(ctx), ...joins.keys()].filter(id => !progress.has(id))) {
+            progress.set(hostId, createProgress(ownValue(voters, hostId)));
         }
         for (const hostId of progress.keys()) {
-            if (voters[hostId] === undefined && !joins.has(hostId)) {
+            if (ownValue(voters, hostId) === undefined && !joins.has(hostId)) {
                 progress.delete(hostId);
             }
         }
@@ -253,7 +252,7 @@
 
     const processJoins = (): void => {
         for (const [hostId, join] of joins) {
-            const voterIncarnation = ctx.log.voters()[hostId];
+            const voterIncarnation = ownValue(ctx.log.voters(), hostId);
             const isExpired = ctx.now - join.lastReceivedAt > joinExpiryHeartbeats * ctx.timing.heartbeatMs;
             if (voterIncarnation === join.incarnation || isExpired) {
                 joins.delete(hostId);
@@ -365,8 +364,8 @@
         isCaughtUp,
         transferTarget: () => {
             const voters = ctx.log.voters();
-            const ready = [...progress].filter(([hostId, peer]) =>
-                peer.incarnation !== undefined && voters[hostId] === peer.incarnation && peer.matchIndex === ctx.log.lastIndex()
+            const ready = [...progress].filter(([hostId, { incarnation, matchIndex }]) =>
+                incarnation !== undefined && ownValue(voters, hostId) === incarnation && matchIndex === ctx.log.lastIndex()
             );
             ready.sort(([, a], [, b]) => b.lastReceivedAt - a.lastReceivedAt);
             return ready[0]?.[0];
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -1,5 +1,6 @@
 /** One state host as a pure state machine: events in, writes, messages and replies out. */
 import type { FleetMachine } from "../fleet/fleet-machine.js";
+import { ownValue } from "../own-value.js";
 import { StateReplyKind, StateRequestKind, StateRole } from "../state-messages.js";
 import type { StateRequest, StateStatus } from "../state-messages.js";
 import { createBootstrap, createBootstrapSnapshot, saveBootstrapSnapshot } from "./bootstrap.js";
@@ -69,7 +70,8 @@
     const isCaughtUp = (): boolean => {
         catchUpIndex = Math.min(catchUpIndex, log.lastIndex());
         // A host that lost its disk has caught up once the entry that makes it a voter again is committed.
-        hasCaughtUp ||= ctx.commitIndex >= catchUpIndex && log.voters(ctx.commitIndex)[ctx.hostId] === ctx.hardState.incarnation;
+        hasCaughtUp ||= ctx.commitIndex >= catchUpIndex
+            && ownValue(log.voters(ctx.commitIndex), ctx.hostId) === ctx.hardState.incarnation;
         return hasCaughtUp;
     };
 
--- a/packages/core/src/lib/gateway/peer-selector.ts
+++ b/packages/core/src/lib/gateway/peer-selector.ts
@@ -1,4 +1,5 @@
 /** Selects the entry host that forwards a request for an entry host without a path to backend servers. */
+import { ownValue } from "../own-value.js";
 import type { Random } from "../random.js";
 import type { PoolLocality } from "./server-pool-types.js";
 
@@ -36,12 +37,13 @@
     /** Times of failures, by address and service. */
     const failures = new Map<string, Map<string | undefined, number>>();
     const { availabilityZone, regions } = locality;
+    const ownRegion = ownValue(regions, availabilityZone);
 
     const distance = (peer: EntryPeer): number => {
         if (peer.availabilityZone === availabilityZone) {
             return 0;
         }
-        return regions[peer.availabilityZone] === regions[availabilityZone] ? 1 : 2;
+        return ownValue(regions, peer.availabilityZone) === ownRegion ? 1 : 2;
     };
 
     const isAvoided = (address: string, service: string, now: number): boolean => {
--- a/packages/core/src/lib/gateway/selection-cost.ts
+++ b/packages/core/src/lib/gateway/selection-cost.ts
@@ -1,4 +1,5 @@
 /** The cost of sending a request to a server, as a fraction of the request's value that is expected to be lost. */
+import { ownValue } from "../own-value.js";
 import type { Repeatability } from "./gateway-config.js";
 import { failureProbabilityOf } from "./pool-member.js";
 import type { PoolMember } from "./pool-member.js";
@@ -11,12 +12,13 @@
 /** Creates the cost function of one host. */
 export const createSelectionCost = (cfg: ServerPoolCfg, weights: SelectionWeights): SelectionCost => {
     const { availabilityZone, regions } = cfg.locality;
+    const ownRegion = ownValue(regions, availabilityZone);
 
     const distanceCost = (zone: string): number => {
         if (zone === availabilityZone) {
             return weights.sameZone;
         }
-        return regions[zone] === regions[availabilityZone] ? weights.sameRegion : weights.otherRegion;
+        return ownValue(regions, zone) === ownRegion ? weights.sameRegion : weights.otherRegion;
     };
 
     /** Load is reported within an availability zone only; other zones are assumed to have this zone's average utilization. */
--- a/packages/ctl/src/lib/cli.ts
+++ b/packages/ctl/src/lib/cli.ts
@@ -1,4 +1,5 @@
 /** Defines the command line: commands, options, help and completion. */
+import { ownValue } from "@cassiapick/core";
 import { peersSetting, suggestName, variableOf } from "@cassiapick/operations";
 import { randomUUID } from "node:crypto";
 import { userInfo } from "node:os";
@@ -67,31 +68,31 @@
     parser
         .option("state-hosts", {
             type: "string",
-            default: env[variableOf("stateHosts")],
+            default: ownValue(env, variableOf("stateHosts")),
             defaultDescription: variableOf("stateHosts"),
             describe: "State hosts, as 'id=host:port,...'",
         })
         .option("entry-hosts", {
             type: "string",
-            default: env[variableOf("entryHosts")],
+            default: ownValue(env, variableOf("entryHosts")),
             defaultDescription: variableOf("entryHosts"),
             describe: "Admin addresses of some entry hosts, as 'id=host:port,...'; the others are discovered through them",
         })
         .option("token-file", {
             type: "string",
-            default: env[variableOf("tokenFile")],
+            default: ownValue(env, variableOf("tokenFile")),
             defaultDescription: variableOf("tokenFile"),
             describe: "File whose first line is the operators' token",
         })
         .option("state-token-file", {
             type: "string",
-            default: env[variableOf("stateTokenFile")],
+            default: ownValue(env, variableOf("stateTokenFile")),
             defaultDescription: variableOf("stateTokenFile"),
             describe: "File whose first line is the token for state hosts, when it differs from --token-file",
         })
         .option("timeout-ms", {
             type: "number",
-            default: Number(env[variableOf("timeoutMs")] ?? defaultTimeoutMs),
+            default: Number(ownValue(env, variableOf("timeoutMs")) ?? defaultTimeoutMs),
             describe: "Timeout of the command, in milliseconds",
         })
         .option("json", { type: "boolean", default: false, describe: "Print JSON for scripts" }) as unknown as Argv<GlobalArgs>;
--- a/packages/entry/src/lib/caller-answer-writer.ts
+++ b/packages/entry/src/lib/caller-answer-writer.ts
@@ -1,5 +1,5 @@
 /** Writes answers and refusals to callers. */
-import { Outcome } from "@cassiapick/core";
+import { Outcome, ownValue } from "@cassiapick/core";
 import type { Refusal, RequestInfo, StoredAnswer } from "@cassiapick/core";
 import type { ServerResponse } from "node:http";
 import type { AnswerHead, AnswerSink } from "./exchange.js";
@@ -124,11 +124,11 @@
 
     const sendReplay = (caller: PendingCaller, answer: StoredAnswer): void => {
         caller.res.setHeader("idempotency-replayed", "true");
-        const headers: Record<string, string[]> = {};
+        const headers = new Map<string, string[]>();
         for (const [name, value] of answer.headers) {
-            headers[name] = [...headers[name] ?? [], value];
+            headers.set(name, [...headers.get(name) ?? [], value]);
         }
-        sendComplete(caller, { status: answer.status, headers }, Buffer.from(answer.body));
+        sendComplete(caller, { status: answer.status, headers: Object.fromEntries(headers) }, Buffer.from(answer.body));
     };
 
     const createSink = (caller: PendingCaller): AnswerSink => ({
@@ -159,7 +159,7 @@
         setEndToEndHeaders(res, head.headers);
         setHeaders(caller, Outcome.Completed);
         for (const name of [fleetHeaders.outcome, fleetHeaders.reason, fleetHeaders.servedBy, "content-length"]) {
-            const value = head.headers[name];
+            const value = ownValue(head.headers, name);
             if (value !== undefined) {
                 res.setHeader(name, value);
             }
--- a/packages/entry/src/lib/headers.ts
+++ b/packages/entry/src/lib/headers.ts
@@ -1,4 +1,5 @@
 /** Names of the fleet's own headers, and the rules for forwarding headers. */
+import { setOwnValue } from "@cassiapick/core";
 import { hopByHopHeaders } from "@cassiapick/operations";
 
 /** Names of the fleet's own headers, in lower case. */
@@ -45,7 +46,7 @@
             value !== undefined && !perConnectionHeaders.has(lowerCaseName) && !namedByConnection.has(lowerCaseName)
             && !fleetHeaderNames.has(lowerCaseName)
         ) {
-            result[lowerCaseName] = value;
+            setOwnValue(result, lowerCaseName, value);
         }
     }
     return result;
--- a/packages/gateway/src/lib/entry-gateway.ts
+++ b/packages/gateway/src/lib/entry-gateway.ts
@@ -14,6 +14,7 @@
     fromServerRow,
     HostPhase,
     LinkMessageKind,
+    ownValue,
 } from "@cassiapick/core";
 import type { GatewayConfig, LinkMessage, ServerRow } from "@cassiapick/core";
 import { createLatenessMeter } from "@cassiapick/operations";
@@ -210,7 +211,7 @@
     const forwardPort = await forwardServer.listen(options.listenHost, options.forwardPort);
     const link = createStateLink({
         availabilityZone: locality.availabilityZone,
-        region: locality.regions[locality.availabilityZone] ?? "",
+        region: ownValue(locality.regions, locality.availabilityZone) ?? "",
         seeds: options.seeds,
         localAddress: options.listenHost,
         random: options.random,
@@ -222,7 +223,7 @@
             address: `${options.listenHost}:${port}`,
             forwardAddress: `${options.listenHost}:${forwardPort}`,
             availabilityZone: locality.availabilityZone,
-            region: locality.regions[locality.availabilityZone] ?? "",
+            region: ownValue(locality.regions, locality.availabilityZone) ?? "",
             startedAt,
             phase,
             configNumber: configInForce.current()?.number ?? 0,
--- a/packages/operations/src/lib/settings-page.ts
+++ b/packages/operations/src/lib/settings-page.ts
@@ -1,4 +1,5 @@
 /** Renders the reference page of the settings, and the values of one process with their sources. */
+import { ownValue } from "@cassiapick/core";
 import { flagOf, SettingSource, variableOf } from "./setting-definition.js";
 import type { ResolvedSetting, SettingDefinition, SettingDefinitions } from "./setting-definition.js";
 
@@ -50,7 +51,7 @@
     const width = Math.max(0, ...resolvedSettings.map(({ name }) => flagOf(name).length));
     return resolvedSettings
         .map(({ name, source, text }) => {
-            const value = source === SettingSource.Default ? renderValue(definitions[name]!.default) : text ?? "";
+            const value = source === SettingSource.Default ? renderValue(ownValue(definitions, name)!.default) : text ?? "";
             return `${flagOf(name).padEnd(width)}  ${value}  (${sourceLabels[source](name)})`;
         })
         .join("\n");
--- a/packages/operations/src/lib/settings.ts
+++ b/packages/operations/src/lib/settings.ts
@@ -1,4 +1,5 @@
 /** Settings: derives flags, environment variables, validation, help and the reference page from one declaration. */
+import { ownValue, setOwnValue } from "@cassiapick/core";
 import yargs from "yargs";
 import type { Argv } from "yargs";
 import type { z } from "zod";
@@ -111,16 +112,16 @@
     flags: Record<string, unknown>,
     options: ReadSettingsOptions<SettingDefinitions>,
 ): ResolvedSetting => {
-    const flag = flags[toKebab(name)];
+    const flag = ownValue(flags, toKebab(name));
     if (typeof flag === "string") {
-        const isFlagWithoutValue = flag === "" && options.definitions[name]!.isSwitch === true;
+        const isFlagWithoutValue = flag === "" && ownValue(options.definitions, name)!.isSwitch === true;
         return { name, source: SettingSource.Flag, text: isFlagWithoutValue ? "true" : flag };
     }
-    const variable = options.env[variableOf(name)];
+    const variable = ownValue(options.env, variableOf(name));
     if (variable !== undefined) {
         return { name, source: SettingSource.Variable, text: variable };
     }
-    const hasDefault = options.definitions[name]!.default !== undefined;
+    const hasDefault = ownValue(options.definitions, name)!.default !== undefined;
     return { name, source: hasDefault ? SettingSource.Default : SettingSource.Missing, text: undefined };
 };
 
@@ -157,9 +158,9 @@
     const values: Record<string, unknown> = {};
     const resolvedSettings = Object.keys(options.definitions).map(name => resolveSetting(name, flags.values, options));
     for (const setting of resolvedSettings) {
-        const definition = options.definitions[setting.name]!;
+        const definition = ownValue(options.definitions, setting.name)!;
         if (setting.source === SettingSource.Default) {
-            values[setting.name] = definition.default;
+            setOwnValue(values, setting.name, definition.default);
             continue;
         }
         // A mistyped flag also makes its setting appear missing; reporting both errors would mislead.
@@ -168,7 +169,7 @@
         }
         const parsed = definition.schema.safeParse(setting.text);
         if (parsed.success) {
-            values[setting.name] = parsed.data;
+            setOwnValue(values, setting.name, parsed.data);
         }
         else {
             errs.push(invalidValueErr(setting, definition, parsed.error.issues.map(issue => issue.message).join("; ")));
--- a/packages/report/src/lib/render-svg.ts
+++ b/packages/report/src/lib/render-svg.ts
@@ -40,8 +40,8 @@
     return rate > 1 ? levelStyles[BurnLevel.Slow].color : levelStyles[BurnLevel.Ok].color;
 };
 
-const entities: Record<string, string> = { "&": "&amp;", "<": "&lt;", ">": "&gt;", '"': "&quot;" };
-const escapeXml = (text: string): string => text.replace(/[&<>"]/g, letter => entities[letter]!);
+const entities = new Map([["&", "&amp;"], ["<", "&lt;"], [">", "&gt;"], ['"', "&quot;"]]);
+const escapeXml = (text: string): string => text.replace(/[&<>"]/g, letter => entities.get(letter)!);
 
 const drawText = (x: number, y: number, text: string, size: number, color: string, weight = 400): string =>
     `<text x="${x}" y="${y}" font-size="${size}" fill="${color}" font-weight="${weight}">${escapeXml(text)}</text>`;
--- a/packages/wire/src/lib/rpc-server.ts
+++ b/packages/wire/src/lib/rpc-server.ts
@@ -1,4 +1,5 @@
 /** The server side of the RPC protocol between the programs of the fleet. */
+import { ownValue } from "@cassiapick/core";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { createFrameReader, encodeFrame, maxFrameBytes, maxHelloBytes } from "./frame-codec.js";
@@ -43,11 +44,11 @@
     hostId: string,
     envelope: Envelope,
 ): Promise<void> => {
-    if (envelope.kind === EnvelopeKind.Notice && Object.hasOwn(options.noticeHandlers, envelope.channel)) {
-        options.noticeHandlers[envelope.channel]!(envelope.body, hostId);
+    if (envelope.kind === EnvelopeKind.Notice) {
+        ownValue(options.noticeHandlers, envelope.channel)?.(envelope.body, hostId);
     }
-    if (envelope.kind === EnvelopeKind.Request && Object.hasOwn(options.requestHandlers, envelope.channel)) {
-        const body = await options.requestHandlers[envelope.channel]!(envelope.body, hostId);
+    if (envelope.kind === EnvelopeKind.Request) {
+        const body = await ownValue(options.requestHandlers, envelope.channel)?.(envelope.body, hostId);
         if (body !== undefined && !peer.socket.destroyed) {
             peer.socket.write(encodeFrame({ kind: EnvelopeKind.Reply, id: envelope.id, body }));
         }
