End the response to a failure that broke off while it was kept

Cause: a failure is kept while its request is sent again. The rest of a long one is a stream; when the server broke off meanwhile, the stream had ended before the kept answer was written, so no listener was ever called and the response stayed open.

Change: a kept failure that has broken off is no answer any more, so the caller gets a whole 502; a response to which an ended stream is written is broken off. The same class: kept failures that are not delivered, and answers that arrive after the reply was decided, are dropped at once; before, they held a connection until a second after the time limit.

Why this works: each stream is either read to its end by a response that saw it alive, or destroyed.

--- a/packages/gateway/src/lib/answer-writer.ts
+++ b/packages/gateway/src/lib/answer-writer.ts
@@ -34,6 +34,11 @@
 
 /** Streams the rest of a body as fast as the caller reads it. A truncated body must not look complete, so `res` is destroyed then. */
 const streamRest = (res: ServerResponse, stream: Readable, isComplete: () => boolean): void => {
+    if (stream.destroyed) {
+        // No event would tell of its end any more.
+        res.destroy();
+        return;
+    }
     stream.on("error", () => res.destroy());
     stream.on("end", () => {
         if (isComplete()) {
--- a/packages/gateway/src/lib/attempt.ts
+++ b/packages/gateway/src/lib/attempt.ts
@@ -1,5 +1,6 @@
 /** What the ways of sending a request to a backend server have in common: directly, and through another entry host. */
 import type { Repeatability } from "@cassiapick/core";
+import type { CallerRequest } from "./caller-request.js";
 import type { RawHeaders } from "./headers.js";
 import type { HttpCallResult } from "./http-call.js";
 
@@ -24,6 +25,22 @@
     deadlineAt: number;
 }
 
+/** What the attempts of a caller's request at `service` need to know of it. */
+export const attemptRequestOf = ({ route, ...req }: CallerRequest, service: string): AttemptRequest => ({
+    requestId: req.requestId,
+    requestKey: req.requestKey,
+    routeName: route.name,
+    latencyObjectiveMs: route.latencyObjectiveMs,
+    service,
+    repeatability: route.repeatability,
+    hasLargeAnswer: route.hasLargeAnswers,
+    method: req.method,
+    target: req.target,
+    headers: req.headers,
+    body: req.body,
+    deadlineAt: req.deadlineAt,
+});
+
 /** How an attempt ended. */
 export interface AttemptResult extends HttpCallResult {
     /** The server that the request was sent to, or to which no connection was established; `undefined` if none was selected. */
--- a/packages/gateway/src/lib/request-runner.ts
+++ b/packages/gateway/src/lib/request-runner.ts
@@ -12,12 +12,13 @@
 import type { AdmissionQueue, QueuedRequest } from "./admission-queue.js";
 import { admittedEndOf } from "./admitted-end.js";
 import { createAttemptTurns } from "./attempt-turn.js";
-import type { Attempt, AttemptRequest, AttemptResult } from "./attempt.js";
+import { attemptRequestOf } from "./attempt.js";
+import type { Attempt, AttemptResult } from "./attempt.js";
 import { ReplyKind } from "./caller-request.js";
 import type { CallerRequest, RefusedReply, Reply, RequestRun } from "./caller-request.js";
 import { startForwardAttempt } from "./forward-attempt.js";
 import type { GatewayMetrics } from "./gateway-metrics.js";
-import type { ServerAnswer } from "./http-call.js";
+import { createKeptAnswer } from "./kept-answer.js";
 import { createRequestRetries } from "./request-retries.js";
 import type { RetryReason } from "./request-retries.js";
 import { startServerAttempt } from "./server-attempt.js";
@@ -58,20 +59,7 @@
         tryTakeRetry: retries.tryTakeRetry,
         tryTakeHedge: retries.tryTakeHedge,
     });
-    const attemptRequest: AttemptRequest = {
-        requestId: req.requestId,
-        requestKey,
-        routeName: route.name,
-        latencyObjectiveMs: route.latencyObjectiveMs,
-        service,
-        repeatability: route.repeatability,
-        hasLargeAnswer: route.hasLargeAnswers,
-        method: req.method,
-        target: req.target,
-        headers: req.headers,
-        body: req.body,
-        deadlineAt: req.deadlineAt,
-    };
+    const attemptRequest = attemptRequestOf(req, service);
     const openAttempts = new Set<Attempt>();
     const triedServerNumbers = new Set<number>();
     const triedPeers = new Set<string>();
@@ -82,8 +70,7 @@
     let retryReason: RetryReason | undefined;
     /** The reply if the request turns out not to have run, once it may not be sent any more. */
     let unsentRefusal: RefusedReply | undefined;
-    /** The last server error, delivered if no other attempt succeeds. */
-    let serverErrorAnswer: ServerAnswer | undefined;
+    const keptAnswer = createKeptAnswer();
     const reply = new Promise<Reply>(resolve => {
         resolveReply = resolve;
     });
@@ -102,6 +89,7 @@
         for (const attempt of openAttempts) {
             attempt.cancel();
         }
+        keptAnswer.settle(finalReply.kind === ReplyKind.Answer ? finalReply.answer : undefined);
         resolveReply(finalReply);
     };
 
@@ -113,12 +101,14 @@
         conclude({ kind: ReplyKind.Refused, retryAfterMs, reason });
     };
 
-    const fail = (reason: string): void =>
+    const fail = (reason: string): void => {
+        const answer = keptAnswer.usable();
         conclude(
-            serverErrorAnswer === undefined
+            answer === undefined
                 ? { kind: ReplyKind.Failed, reason }
-                : { kind: ReplyKind.Answer, answer: serverErrorAnswer, attemptCount: attempts.attemptCount(), detail: reason },
+                : { kind: ReplyKind.Answer, answer, attemptCount: attempts.attemptCount(), detail: reason },
         );
+    };
 
     /** Ends the request after an error of this program, so that other requests go on. */
     const endFaulty = (err: unknown): void => {
@@ -244,7 +234,9 @@
                 }
                 return;
             }
-            serverErrorAnswer = result.answer ?? serverErrorAnswer;
+            if (result.answer !== undefined) {
+                keptAnswer.keep(result.answer);
+            }
             // A request that runs once is not retried, so its caller need not wait for the check of the server.
             const mayBeRetried = result.outcome === AttemptOutcome.Broken && route.repeatability === Repeatability.Repeatable;
             const endsServers = mayBeRetried && await attempt.hasServerEnded
--- a/packages/gateway/src/test/request-runner_test.ts
+++ b/packages/gateway/src/test/request-runner_test.ts
@@ -1,20 +1,11 @@
-import { createPeerSelector, createRandom, createServerPool, Repeatability, ServingState } from "@cassiapick/core";
+import { Repeatability } from "@cassiapick/core";
 import { expect } from "chai";
 import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
 import { ReplyKind } from "../lib/caller-request.js";
 import { connectTcp } from "../lib/http-call.js";
 import type { Connect } from "../lib/http-call.js";
-import { runRequest } from "../lib/request-runner.js";
-import {
-    createLoneHost,
-    createTestAdmission,
-    createTestRetryBudget,
-    intactPath,
-    testClock,
-    testHeaderNames,
-    testServer,
-} from "./test-gateway.js";
+import { runTestRequest } from "./test-gateway.js";
 
 const timeoutMs = 120;
 
@@ -44,45 +35,11 @@
     ];
     for (const { name, connectServer, kind } of cases) {
         it(name, async () => {
-            const random = createRandom(1);
-            const locality = { availabilityZone: "z1", regions: { z1: "r1" } };
-            const pool = createServerPool({ locality, random, wallClock: Date.now });
-            pool.update([{ ...testServer, address, state: ServingState.Ready }]);
-            const arrivedAt = testClock();
-            const run = runRequest({
-                requestId: "r1",
-                requestKey: "k1",
-                callerAddress: "127.0.0.1",
-                route: {
-                    name: "route",
-                    hostName: "a.example",
-                    prefix: "/",
-                    repeatability: Repeatability.AtMostOnce,
-                    timeoutMs,
-                    latencyObjectiveMs: 1000,
-                    priority: 0,
-                    maxServers: 2,
-                    destinations: [{ service: testServer.service, weight: 1 }],
-                },
-                configNumber: 1,
-                priority: 0,
-                method: "GET",
-                target: "/",
-                headers: [],
-                body: Buffer.alloc(0),
-                arrivedAt,
-                deadlineAt: arrivedAt + timeoutMs,
-            }, {
-                pool,
-                path: intactPath,
-                headerNames: testHeaderNames,
+            const run = runTestRequest({
+                addresses: [address],
+                repeatability: Repeatability.AtMostOnce,
+                timeoutMs,
                 connectServer,
-                clock: testClock,
-                ...createLoneHost(),
-                admission: createTestAdmission(pool),
-                retryBudget: createTestRetryBudget(),
-                peers: createPeerSelector(locality, random),
-                random,
             });
             expect((await run.reply).kind).to.equal(kind);
         });
--- a/packages/gateway/src/test/test-gateway.ts
+++ b/packages/gateway/src/test/test-gateway.ts
@@ -2,16 +2,22 @@
 import {
     createByteBudget,
     createHostRetryBudget,
+    createPeerSelector,
     createRandom,
     createRequestQuarantine,
     createRouteLatencyTracker,
+    createServerPool,
     ServingState,
 } from "@cassiapick/core";
-import type { FleetServer, HostRetryBudget, PathMonitor, RequestQuarantine, ServerPool } from "@cassiapick/core";
+import type { FleetServer, HostRetryBudget, PathMonitor, Repeatability, RequestQuarantine, ServerPool } from "@cassiapick/core";
 import { createAdmissionQueue } from "../lib/admission-queue.js";
 import type { AdmissionQueue } from "../lib/admission-queue.js";
 import { createAnswerWriter } from "../lib/answer-writer.js";
 import type { AnswerWriter } from "../lib/answer-writer.js";
+import type { RequestRun } from "../lib/caller-request.js";
+import { connectTcp } from "../lib/http-call.js";
+import type { Connect } from "../lib/http-call.js";
+import { runRequest } from "../lib/request-runner.js";
 import type { ServerEndCheck } from "../lib/server-end-check.js";
 
 export const testHeaderNames = {
@@ -102,6 +108,65 @@
     revision: 1,
 };
 
+/** Options of {@link runTestRequest}. */
+export interface TestRequest {
+    /** "host:port" of each server of the service. */
+    addresses: readonly string[];
+    repeatability: Repeatability;
+    timeoutMs: number;
+    connectServer?: Connect;
+}
+
+/** Runs a request of a host that is alone. */
+export const runTestRequest = ({ addresses, repeatability, timeoutMs, connectServer = connectTcp }: TestRequest): RequestRun => {
+    const random = createRandom(1);
+    const locality = { availabilityZone: "z1", regions: { z1: "r1" } };
+    const pool = createServerPool({ locality, random, wallClock: Date.now });
+    pool.update(addresses.map((address, index) => ({
+        ...testServer,
+        address,
+        number: index + 1,
+        serverId: `s${index + 1}`,
+        revision: index + 1,
+    })));
+    const arrivedAt = testClock();
+    return runRequest({
+        requestId: "r1",
+        requestKey: "k1",
+        callerAddress: "127.0.0.1",
+        route: {
+            name: "route",
+            hostName: "a.example",
+            prefix: "/",
+            repeatability,
+            timeoutMs,
+            latencyObjectiveMs: 1000,
+            priority: 0,
+            maxServers: 2,
+            destinations: [{ service: testServer.service, weight: 1 }],
+        },
+        configNumber: 1,
+        priority: 0,
+        method: "GET",
+        target: "/",
+        headers: [],
+        body: Buffer.alloc(0),
+        arrivedAt,
+        deadlineAt: arrivedAt + timeoutMs,
+    }, {
+        pool,
+        path: intactPath,
+        headerNames: testHeaderNames,
+        connectServer,
+        clock: testClock,
+        ...createLoneHost(),
+        admission: createTestAdmission(pool),
+        retryBudget: createTestRetryBudget(),
+        peers: createPeerSelector(locality, random),
+        random,
+    });
+};
+
 /** Writes the answers of a host that has memory for all of them. */
 export const createTestAnswerWriter = (): AnswerWriter =>
     createAnswerWriter({ budget: createByteBudget(Infinity), clock: testClock });
