Bound the log of state hosts in bytes

Why this works: what a host keeps no longer grows with the length of a configuration times the number of changes.

--- a/packages/control/src/lib/config-frames.ts
+++ b/packages/control/src/lib/config-frames.ts
@@ -19,6 +19,9 @@
 
 /** Recent configurations are retained, so that a host that reattaches needs only the difference. */
 const maxRetainedConfigs = 8;
+/** The routes of all retained configurations; one before the latest is retained in any case, as most hosts hold it. */
+const maxRetainedRoutes = 60_000;
+const minRetainedConfigs = 2;
 
 /** Creates the frames of a state host without a configuration; `frameFor` may be called after the first `setLatest`. */
 export const createConfigFrames = (): ConfigFrames => {
@@ -27,6 +30,12 @@
     const frames = new Map<ConfigNumber | undefined, ConfigFrame>();
     let latest: GatewayConfig | undefined;
 
+    const isTooMuch = (): boolean => {
+        const routes = [...retainedConfigs.values()].reduce((sum, config) => sum + config.routes.length, 0);
+        return retainedConfigs.size > maxRetainedConfigs
+            || (retainedConfigs.size > minRetainedConfigs && routes > maxRetainedRoutes);
+    };
+
     const messageFor = (config: GatewayConfig, base: GatewayConfig | undefined): LinkMessage =>
         base === undefined
             ? { k: LinkMessageKind.Config, config }
@@ -40,7 +49,7 @@
             latest = config;
             frames.clear();
             retainedConfigs.set(config.number, config);
-            if (retainedConfigs.size > maxRetainedConfigs) {
+            while (isTooMuch()) {
                 retainedConfigs.delete(retainedConfigs.keys().next().value!);
             }
         },
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -54,6 +54,8 @@
     timing?: StateTiming;
     /** Number of applied entries after which a snapshot replaces them; `Infinity` disables snapshots. */
     snapshotEvery?: number;
+    /** The memory that log entries may take before a snapshot replaces those that are applied, in bytes. */
+    maxLogWeight?: number;
 }
 
 /** Mutable state shared by the components of one host. */
--- a/packages/core/src/lib/consensus/replicated-log.ts
+++ b/packages/core/src/lib/consensus/replicated-log.ts
@@ -1,4 +1,5 @@
 /** In-memory log of one state host: the position of the latest snapshot and the entries after it. */
+import { weightOf } from "../value-weight.js";
 import { EntryKind } from "./log-entry.js";
 import type { LogEntry, Snapshot, Voters } from "./log-entry.js";
 
@@ -20,6 +21,8 @@
     compact(index: number): void;
     /** Removes all entries and continues after a snapshot. */
     reset(snapshot: Snapshot): void;
+    /** About the bytes that the entries take. */
+    weight(): number;
     /** The voters as of `index`, by default as of the last entry. */
     voters(index?: number): Voters;
     /** The index of the latest entry that changed the voters; 0 if there is none after the snapshot. */
@@ -50,6 +53,15 @@
     let baseTerm = snapshot?.term ?? 0;
     let baseVoters = snapshot?.voters ?? initialVoters;
     let entries = [...stored];
+    let weights = entries.map(({ body }) => weightOf(body));
+    let weight = 0;
+
+    /** Keeps the weights of the entries from position `start` to `end`. */
+    const keepWeights = (start: number, end = weights.length): void => {
+        weights = weights.slice(start, end);
+        weight = weights.reduce((sum, bytes) => sum + bytes, 0);
+    };
+    keepWeights(0);
 
     const lastIndex = (): number => baseIndex + entries.length;
     const entryAt = (index: number): LogEntry | undefined => entries[index - baseIndex - 1];
@@ -70,6 +82,7 @@
         }
         baseVoters = voters(index);
         entries = entries.slice(index - baseIndex);
+        keepWeights(index - baseIndex);
         baseIndex = index;
         baseTerm = term;
     };
@@ -86,20 +99,28 @@
         },
         append: added => {
             entries.push(...added);
+            for (const { body } of added) {
+                const bytes = weightOf(body);
+                weights.push(bytes);
+                weight += bytes;
+            }
             if (added.some(changesVoters)) {
                 refreshLatestVoters();
             }
         },
         truncate: fromIndex => {
             entries = entries.slice(0, fromIndex - baseIndex - 1);
+            keepWeights(0, fromIndex - baseIndex - 1);
             refreshLatestVoters();
         },
         compact,
+        weight: () => weight,
         reset: installed => {
             baseIndex = installed.index;
             baseTerm = installed.term;
             baseVoters = installed.voters;
             entries = [];
+            keepWeights(0, 0);
             refreshLatestVoters();
         },
         voters: index => index === undefined ? latestVoters : voters(index),
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -20,6 +20,8 @@
 import { createWatchers } from "./watchers.js";
 
 const defaultEntriesPerSnapshot = 256;
+/** A snapshot is also taken once the entries take this much memory, in bytes: an entry may hold a long configuration. */
+const defaultLogWeightPerSnapshot = 32 * 1024 * 1024;
 
 /** Options of {@link createStateNode}. */
 export interface CreateStateNodeCfg extends StateNodeCfg {
@@ -56,6 +58,7 @@
 export const createStateNode = (cfg: CreateStateNodeCfg): StateNode => {
     const { snapshot: stored, entries } = cfg.stored;
     const snapshotEvery = cfg.snapshotEvery ?? defaultEntriesPerSnapshot;
+    const maxLogWeight = cfg.maxLogWeight ?? defaultLogWeightPerSnapshot;
     let actions: NodeAction[] = [];
     let isLeaving = false;
     let latestSnapshot: Snapshot | undefined = stored;
@@ -108,7 +111,8 @@
         while (ctx.appliedIndex < ctx.commitIndex) {
             applyEntry(log.entryAt(ctx.appliedIndex + 1)!);
         }
-        if (ctx.appliedIndex - log.baseIndex() >= snapshotEvery) {
+        const appliedEntries = ctx.appliedIndex - log.baseIndex();
+        if (appliedEntries >= snapshotEvery || (appliedEntries > 0 && log.weight() > maxLogWeight)) {
             takeSnapshot();
         }
         watchers.notifyNewer();
