Elect a leader also on disks with slow flushes

Cause: a candidate's next attempt is scheduled when it begins to save its vote. On a slow disk the time is over when the save ends, so a pre-vote starts in the same batch in which the vote requests go out. Votes were ignored during a pre-vote, which then led to a new term.

Change: a vote in the candidate's term counts whatever pre-vote is under way, and hosts postpone attempts by the time that their disk takes to save a vote, as they measure it.

Why this works: each term that a candidate has begun can be won until it has begun another, and it waits for the saves before it does.

As processes the fault could not be shown, as this machine's disk was fast.

--- a/packages/core/src/lib/consensus/election.ts
+++ b/packages/core/src/lib/consensus/election.ts
@@ -41,7 +41,9 @@
 
 /** Creates the leader election of one host. */
 export const createElection = (ctx: NodeContext, hooks: ElectionHooks): Election => {
-    let voteIncarnations = new Map<string, number>();
+    /** Hosts that granted the pre-vote under way, and those that voted for this host in its term, with their incarnations. */
+    let preVotes = new Map<string, number>();
+    let votes = new Map<string, number>();
     let isPreVoting = false;
     let electionDeadline: number | undefined;
     let hasYielded = false;
@@ -54,6 +56,11 @@
         electionDeadline = ctx.now + ctx.timing.electionTimeoutMs * fraction * (1 + ctx.random.next());
     };
 
+    /** Postpones this host's next attempt by the time in which a vote becomes durable, as no vote is sent before. */
+    const waitForSave = (): void => {
+        electionDeadline = (electionDeadline ?? ctx.now) + ctx.saveTime.estimateMs(ctx.now);
+    };
+
     const becomeFollower = (term: number, leaderId: string | undefined): void => {
         const wasLeader = ctx.role === StateRole.Leader;
         if (term > ctx.hardState.term) {
@@ -68,10 +75,10 @@
         }
     };
 
-    const hasMajority = (): boolean => {
+    const isMajority = (incarnations: ReadonlyMap<string, number>): boolean => {
         const voters = ctx.log.voters();
-        const votes = Object.entries(voters).filter(([hostId, incarnation]) => voteIncarnations.get(hostId) === incarnation);
-        return votes.length >= quorumSize(voters);
+        const granted = Object.entries(voters).filter(([hostId, incarnation]) => incarnations.get(hostId) === incarnation);
+        return granted.length >= quorumSize(voters);
     };
 
     const requestVotes = (preVote: boolean, transfer: boolean): void => {
@@ -89,6 +96,7 @@
     };
 
     const becomeLeader = (): void => {
+        isPreVoting = false;
         ctx.role = StateRole.Leader;
         ctx.leaderId = ctx.hostId;
         hooks.elected();
@@ -99,10 +107,11 @@
         ctx.role = StateRole.Candidate;
         ctx.leaderId = undefined;
         ctx.saveHardState({ term: ctx.hardState.term + 1, votedFor: ctx.hostId });
-        voteIncarnations = new Map([[ctx.hostId, ctx.hardState.incarnation]]);
+        votes = new Map([[ctx.hostId, ctx.hardState.incarnation]]);
         scheduleRetry(retryFraction.vote);
+        waitForSave();
         requestVotes(false, transfer);
-        if (hasMajority()) {
+        if (isMajority(votes)) {
             becomeLeader();
         }
     };
@@ -112,10 +121,10 @@
         hasYielded = false;
         ctx.role = StateRole.Candidate;
         ctx.leaderId = undefined;
-        voteIncarnations = new Map([[ctx.hostId, ctx.hardState.incarnation]]);
+        preVotes = new Map([[ctx.hostId, ctx.hardState.incarnation]]);
         scheduleRetry(retryFraction.preVote);
         requestVotes(true, false);
-        if (hasMajority()) {
+        if (isMajority(preVotes)) {
             startElection(false);
         }
     };
@@ -169,12 +178,14 @@
                 isPreVoting = false;
                 ctx.role = passiveRole(ctx);
                 scheduleRetry(retryFraction.preVote);
+                waitForSave();
             }
             return;
         }
         if (!hasYielded) {
             hasYielded = true;
             scheduleRetry(retryFraction.preVote);
+            waitForSave();
         }
     };
 
@@ -201,6 +212,7 @@
         }
         if (isGranted) {
             resetTimeout();
+            waitForSave();
         }
         sendVoteReply(from, message, isGranted);
     };
@@ -210,20 +222,25 @@
             becomeFollower(message.term, undefined);
             return;
         }
-        const isCurrent = message.preVote === isPreVoting
-            && message.term === (isPreVoting ? ctx.hardState.term + 1 : ctx.hardState.term);
-        if (ctx.role !== StateRole.Candidate || !message.granted || !isCurrent) {
+        if (ctx.role !== StateRole.Candidate || !message.granted) {
             return;
         }
-        voteIncarnations.set(from, message.incarnation);
-        if (!hasMajority()) {
+        if (message.preVote) {
+            if (isPreVoting && message.term === ctx.hardState.term + 1) {
+                preVotes.set(from, message.incarnation);
+                if (isMajority(preVotes)) {
+                    startElection(false);
+                }
+            }
             return;
         }
-        if (isPreVoting) {
-            startElection(false);
-            return;
+        // A vote that comes late counts too: this host's own is for itself until its term changes.
+        if (message.term === ctx.hardState.term && ctx.hardState.votedFor === ctx.hostId) {
+            votes.set(from, message.incarnation);
+            if (isMajority(votes)) {
+                becomeLeader();
+            }
         }
-        becomeLeader();
     };
 
     return { tick, resetTimeout, becomeFollower, startNow: () => startElection(true), receiveVoteRequest, receiveVoteReply };
--- a/packages/core/src/lib/consensus/node-context.ts
+++ b/packages/core/src/lib/consensus/node-context.ts
@@ -8,6 +8,8 @@
 import { NodeActionKind } from "./node-messages.js";
 import type { NodeAction, PeerMessage } from "./node-messages.js";
 import type { ReplicatedLog } from "./replicated-log.js";
+import { createSaveTime } from "./save-time.js";
+import type { SaveTime } from "./save-time.js";
 
 /** Intervals and timeouts of the consensus protocol, in milliseconds. */
 export interface StateTiming {
@@ -68,6 +70,7 @@
     readonly random: Random;
     readonly wallClock: () => number;
     readonly log: ReplicatedLog;
+    readonly saveTime: SaveTime;
     machine: ConfigurationMachine;
     hardState: HardState;
     role: StateRole;
@@ -122,6 +125,7 @@
         random: cfg.random,
         wallClock: cfg.wallClock,
         log,
+        saveTime: createSaveTime(),
         machine,
         hardState: cfg.stored.hardState,
         role: StateRole.Recovering,
--- a/packages/core/src/lib/consensus/state-node.ts
+++ b/packages/core/src/lib/consensus/state-node.ts
@@ -36,6 +36,8 @@
      * A write must be synced before a later action runs; when a write fails, the host must stop.
      */
     step(event: NodeEvent, now: number): NodeAction[];
+    /** Records how long a save of the hard state took until it was durable, in milliseconds; elections wait for it. */
+    recordSave(tookMs: number, now: number): void;
     status(): StateStatus;
     /** The applied view of the fleet; `undefined` while it may be older than the view before the start. */
     fleet(): FleetMachine | undefined;
@@ -268,6 +270,7 @@
 
     return {
         step,
+        recordSave: (tookMs, now) => ctx.saveTime.record(tookMs, now),
         status,
         fleet: () => isCaughtUp() ? ctx.machine.fleet : undefined,
         viewAgeMs,
--- a/packages/state/src/lib/state-driver.ts
+++ b/packages/state/src/lib/state-driver.ts
@@ -72,6 +72,12 @@
     stop(): Promise<void>;
 }
 
+/** How many files of the data folder a write replaces: that of the hard state, or the snapshot and the log. */
+const replacedFilesByKind: Readonly<Partial<Record<WriteAction["kind"], number>>> = {
+    [NodeActionKind.SaveHardState]: 1,
+    [NodeActionKind.SaveSnapshot]: 2,
+};
+
 const isWriteAction = (action: NodeAction): action is WriteAction =>
     action.kind !== NodeActionKind.Send && action.kind !== NodeActionKind.Reply;
 
@@ -210,6 +216,14 @@
         }
     };
 
+    /** Tells the node how long one save of the hard state takes, if the writes have replaced files; appends are much faster. */
+    const recordSaves = (writes: readonly WriteAction[], tookMs: number): void => {
+        const replacedFiles = writes.reduce((sum, { kind }) => sum + (replacedFilesByKind[kind] ?? 0), 0);
+        if (replacedFiles > 0) {
+            node.recordSave(tookMs / replacedFiles, clock());
+        }
+    };
+
     /**
      * Processes all queued events as one batch, so that one sync covers all of their writes. All writes are made durable, in
      * order, before any message or reply of the batch is sent. This is safe, because no message goes out before the write that
@@ -224,6 +238,7 @@
             writeStartedAt = clock();
             try {
                 await folder.write(writes);
+                recordSaves(writes, clock() - writeStartedAt);
             }
             catch (err) {
                 handleFailure(err as Error);
