--- a/packages/core/src/lib/own-value.ts
+++ b/packages/core/src/lib/own-value.ts
@@ -4,7 +4,12 @@
 export const ownValue = <T>(record: Readonly<Record<string, T>>, key: string): T | undefined =>
     Object.hasOwn(record, key) ? record[key] : undefined;
 
-/** Sets the value of a key; an assignment to "__proto__" would set the prototype of the record. */
+/** Sets the value of a key of a record that inherits from `Object` only. */
 export const setOwnValue = <T>(record: Record<string, T>, key: string, value: T): void => {
-    Object.defineProperty(record, key, { value, writable: true, enumerable: true, configurable: true });
+    if (key === "__proto__") {
+        // An assignment would set the prototype; for other names it does the same as this, and is several times faster.
+        Object.defineProperty(record, key, { value, writable: true, enumerable: true, configurable: true });
+        return;
+    }
+    record[key] = value;
 };
