Log each fault of a chunk of messages

Cause: of several messages in one chunk whose handlers throw, only the first exception was thrown on, and so logged.

Change: each one is thrown on by itself, after the chunk. link_test holds as before.

--- a/packages/wire/src/lib/link.ts
+++ b/packages/wire/src/lib/link.ts
@@ -15,7 +15,7 @@
 /** Callbacks for the events of one connection. */
 export interface LinkHandlers {
     onOpen?: (link: Link) => void;
-    /** An exception of this handler is thrown on after the other messages of the chunk were handled. */
+    /** An exception of this handler is thrown on after the other messages of the chunk have been handled. */
     onMessage: (link: Link, message: unknown) => void;
     /** Called when a chunk ends in an incomplete message. */
     onPartReceived?: (link: Link) => void;
@@ -111,21 +111,19 @@
             fail(result.err.message);
             return;
         }
-        const faults: unknown[] = [];
         for (const message of result.values) {
             try {
                 handlers.onMessage(link, message);
             }
             catch (err) {
-                faults.push(err);
+                queueMicrotask(() => {
+                    throw err;
+                });
             }
         }
         if (reader.hasPartialFrame()) {
             handlers.onPartReceived?.(link);
         }
-        if (faults.length > 0) {
-            throw faults[0];
-        }
     });
     socket.on("end", () => socket.destroy());
     socket.on("error", err => {
