--- a/packages/state/src/test/driver-fleet.ts
+++ b/packages/state/src/test/driver-fleet.ts
@@ -21,6 +21,8 @@
     seed: number;
     /** What a message of `from` becomes on the wire; a copy by default. */
     transfer?: (message: PeerMessage, from: string) => PeerMessage;
+    /** How long each disk takes to replace a file, in milliseconds. */
+    replaceMs?: number;
     onStepped?: (hostId: string) => void;
     write?: (line: string) => void;
 }
@@ -46,7 +48,7 @@
     const transfer = options.transfer ?? (message => structuredClone(message));
 
     const start = async (hostId: string, hostIds: readonly string[]): Promise<void> => {
-        const disk = createMemoryDisk();
+        const disk = createMemoryDisk(options.replaceMs);
         disks.set(hostId, disk);
         const founding = hostIds.includes(hostId);
         const incarnation = founding ? 1 : drawIncarnation(random);
--- a/packages/state/src/test/memory-disk.ts
+++ b/packages/state/src/test/memory-disk.ts
@@ -5,7 +5,9 @@
     setFull(isFull: boolean): void;
 }
 
-export const createMemoryDisk = (): MemoryDisk => {
+/** Creates an empty disk; a file that is replaced is durable after `replaceMs` milliseconds. */
+
+export const createMemoryDisk = (replaceMs = 0): MemoryDisk => {
     const files = new Map<string, Buffer>();
     let isFull = false;
     const done = Promise.resolve();
@@ -33,7 +35,7 @@
             files.delete(from);
             return done;
         },
-        syncFolder: () => done,
+        syncFolder: () => replaceMs === 0 ? done : new Promise(resolve => setTimeout(resolve, replaceMs)),
         close: () => done,
     };
 };
